--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 pub mod backoff;
+pub mod catalog;
 pub mod choice;
 pub mod claims;
 pub mod crash;
@@ -13,11 +14,16 @@
 pub mod lease;
 pub mod limits;
 pub mod membership;
+pub mod mesh;
 pub mod news;
 pub mod node;
+pub mod placing;
 pub mod pool;
 pub mod probe;
+pub mod reader;
 pub mod records;
+pub mod refusal;
 pub mod retry;
 pub mod server;
+pub mod shares;
 pub mod spread;
--- /dev/null
+++ b/cuminspread/src/coordination/placing.rs
@@ -0,0 +1,457 @@
+//! Chooses a server by what it says of itself a moment before the request is sent.
+//!
+//! Load pattern: a quarter or more of the servers is several times slower than usual at any moment,
+//! others each time, for about a tenth of a second. What a server said with its last answer is worth
+//! nothing by the next request, so a few servers are asked right before a send (power of two choices
+//! with fresh reports: Mitzenmacher, 2001; Wydrowski et al., "Prequal", NSDI 2024). Near ones are
+//! asked first; if none of them can answer in time, the rest of the near ones, and then far ones.
+//!
+//! A score estimates the value of sending to a server: the chance of an answer within the aim, less
+//! what distance costs. Scores rest on the report, on how long the server's own answers took against
+//! what it said, on requests that it has had for too long, and on failures.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand_pcg::Pcg32;
+
+use crate::state::time::Mono;
+
+/// Settings of the choice.
+#[derive(Debug, Clone)]
+pub struct PlacingSettings {
+    /// Servers asked first.
+    pub first_look: usize,
+    /// Servers asked in each further round.
+    pub next_look: usize,
+    /// Score from which a server is taken without asking more.
+    pub good: f32,
+    /// Part of a request's value that it costs to leave the data centre.
+    pub far_cost: f32,
+    /// Pause before the same servers are asked again; a fraction of how long a speed lasts.
+    pub pause: Duration,
+    /// Longest wait for a near server before far ones are asked.
+    pub near_wait: Duration,
+    /// Age at which a report is worth nothing.
+    pub report_life: Duration,
+    /// Time in which a belief about a slow or failing server halves.
+    pub half_life: Duration,
+    /// First time for which a server that failed is avoided; it doubles with each failure in a row.
+    pub avoid: Duration,
+    /// Longest time for which a server is avoided.
+    pub max_avoid: Duration,
+    /// Factor on the work of a server that has just started.
+    pub cold: f32,
+    /// Value of a late answer against one in time.
+    pub late: f32,
+}
+
+impl Default for PlacingSettings {
+    fn default() -> Self {
+        Self {
+            first_look: 2,
+            next_look: 3,
+            good: 0.75,
+            far_cost: 0.2,
+            pause: Duration::from_millis(25),
+            near_wait: Duration::from_millis(60),
+            report_life: Duration::from_millis(100),
+            half_life: Duration::from_secs(2),
+            avoid: Duration::from_millis(250),
+            max_avoid: Duration::from_secs(2),
+            cold: 2.0,
+            late: 0.1,
+        }
+    }
+}
+
+/// What a server says of its load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Room {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Slots.
+    pub slots: u32,
+    /// How long work takes now, as a multiple of the usual time.
+    pub slowness: f32,
+}
+
+/// A request that a server has.
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    ticket: u64,
+    sent: Mono,
+    expected: Duration,
+    /// The server had a free slot, so the time tells its speed.
+    direct: bool,
+}
+
+/// A belief that fades.
+#[derive(Debug, Clone, Copy)]
+struct Fading {
+    value: f32,
+    rest: f32,
+    at: Mono,
+}
+
+impl Fading {
+    fn new(rest: f32) -> Self {
+        Self {
+            value: rest,
+            rest,
+            at: Mono::default(),
+        }
+    }
+
+    fn read(&self, now: Mono, half_life: Duration) -> f32 {
+        let halvings = now.since(self.at).as_secs_f32() / half_life.as_secs_f32();
+        self.rest + (self.value - self.rest) * (-halvings).exp2()
+    }
+
+    fn note(&mut self, now: Mono, half_life: Duration, sample: f32, weight: f32) {
+        let value = self.read(now, half_life);
+        self.value = value + (sample - value) * weight;
+        self.at = now;
+    }
+}
+
+/// What this daemon believes of one server.
+#[derive(Debug, Clone)]
+pub struct Standing {
+    /// In the own data centre.
+    pub near: bool,
+    /// Slots that it registered.
+    pub slots: u32,
+    /// Until then it is slow from its start.
+    pub warm_until: Mono,
+    room: Option<(Mono, Room)>,
+    /// Sent since the last report.
+    unreported: u32,
+    flights: Vec<Flight>,
+    lag: Fading,
+    errors: Fading,
+    strikes: u32,
+    avoid_until: Mono,
+    ill: bool,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Need {
+    /// Time of the decision.
+    pub now: Mono,
+    /// Usual time of the work.
+    pub work: Duration,
+    /// Time until the aim.
+    pub aim_left: Duration,
+    /// Time until the answer is useless.
+    pub time_left: Duration,
+}
+
+/// Next step of a placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Send to this one of the candidates.
+    Send(usize),
+    /// Ask more near servers.
+    LookNear,
+    /// Ask servers of other data centres.
+    LookFar,
+    /// Ask again after a pause.
+    Pause,
+}
+
+/// What a placement has tried so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Progress {
+    /// Near servers that were not yet asked in this round.
+    pub near_left: usize,
+    /// Far servers that were not yet asked in this round.
+    pub far_left: usize,
+    /// Time since the first look.
+    pub waited: Duration,
+}
+
+impl Standing {
+    /// Server without a history.
+    pub fn new(near: bool, slots: u32, warm_until: Mono) -> Self {
+        Self {
+            near,
+            slots: slots.max(1),
+            warm_until,
+            room: None,
+            unreported: 0,
+            flights: Vec::new(),
+            lag: Fading::new(1.0),
+            errors: Fading::new(0.0),
+            strikes: 0,
+            avoid_until: Mono::default(),
+            ill: false,
+        }
+    }
+
+    /// Requests of this daemon that it has.
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Last report and its time.
+    pub fn report(&self) -> Option<(Mono, Room)> {
+        self.room
+    }
+
+    /// Failures in a row.
+    pub fn strikes(&self) -> u32 {
+        self.strikes
+    }
+
+    /// How long its work takes against what it says.
+    pub fn lag(&self, now: Mono, settings: &PlacingSettings) -> f32 {
+        let overdue = self.flights.iter().map(|f| {
+            let expected = f.expected.as_secs_f32().max(0.001);
+            now.since(f.sent).as_secs_f32() / expected
+        });
+        // A request that takes twice its time is no sign yet.
+        let overdue = overdue.fold(0.0, f32::max) - 1.0;
+        self.lag.read(now, settings.half_life).max(overdue)
+    }
+
+    /// Part of its answers that were failures.
+    pub fn error_rate(&self, now: Mono, settings: &PlacingSettings) -> f32 {
+        self.errors.read(now, settings.half_life)
+    }
+
+    /// It failed lately and is only used if nothing else is there.
+    pub fn is_avoided(&self, now: Mono) -> bool {
+        now < self.avoid_until
+    }
+
+    /// It reported its load; `healthy` if it also says that it is well.
+    pub fn note_room(&mut self, now: Mono, room: Room, healthy: Option<bool>) {
+        self.room = Some((now, room));
+        self.unreported = 0;
+        if let Some(healthy) = healthy {
+            self.ill = !healthy;
+        }
+    }
+
+    /// It can't be reached, or broke off.
+    pub fn note_failure(&mut self, now: Mono, settings: &PlacingSettings) {
+        let span = settings.avoid * (1 << self.strikes.min(6));
+        self.strikes += 1;
+        self.avoid_until = now + span.min(settings.max_avoid);
+        self.errors.note(now, settings.half_life, 1.0, 0.3);
+        self.room = None;
+    }
+
+    /// A request goes to it; returns a ticket for [`Standing::note_end`].
+    pub fn note_sent(&mut self, ticket: u64, need: &Need, settings: &PlacingSettings) {
+        let expected = need
+            .work
+            .mul_f32(self.slowness(need.now, settings).max(0.1));
+        self.flights.push(Flight {
+            ticket,
+            sent: need.now,
+            expected,
+            direct: self.free(need.now, settings) > 0,
+        });
+        self.unreported += 1;
+    }
+
+    /// A request that went to it has ended; gives its usual work time if the end tells that.
+    pub fn note_end(
+        &mut self,
+        now: Mono,
+        ticket: u64,
+        end: End,
+        settings: &PlacingSettings,
+    ) -> Option<Duration> {
+        let i = self.flights.iter().position(|f| f.ticket == ticket)?;
+        let flight = self.flights.swap_remove(i);
+        let took = now.since(flight.sent);
+        let half_life = settings.half_life;
+        match end {
+            End::Answered { failed } => {
+                self.strikes = 0;
+                self.avoid_until = Mono::default();
+                let error = if failed { 1.0 } else { 0.0 };
+                self.errors.note(now, half_life, error, 0.2);
+                if !flight.direct || failed {
+                    return None;
+                }
+                let ratio = took.as_secs_f32() / flight.expected.as_secs_f32().max(0.001);
+                self.lag.note(now, half_life, ratio.clamp(0.3, 10.0), 0.3);
+                let lag = self.lag.read(now, half_life).max(1.0);
+                Some(took.mul_f32(1.0 / lag))
+            }
+            End::Refused => {
+                self.errors.note(now, half_life, 0.5, 0.2);
+                None
+            }
+            End::Silent => {
+                let ratio = took.as_secs_f32() / flight.expected.as_secs_f32().max(0.001);
+                self.lag.note(now, half_life, ratio.clamp(1.0, 10.0), 0.5);
+                self.note_failure(now, settings);
+                None
+            }
+            End::Dropped => {
+                let ratio = took.as_secs_f32() / flight.expected.as_secs_f32().max(0.001);
+                if flight.direct && ratio > 1.0 {
+                    self.lag.note(now, half_life, ratio.min(10.0), 0.3);
+                }
+                None
+            }
+        }
+    }
+
+    /// Value of sending it a request: chance of an answer in time, less the cost of distance.
+    pub fn score(&self, need: &Need, settings: &PlacingSettings) -> f32 {
+        let total = self.expected(need, settings);
+        let in_time = need.aim_left.as_secs_f32() / total;
+        // Work times scatter: at the aim itself a third is in time, at two thirds of it nearly all.
+        let in_time = ((in_time - 0.8) / 0.7).clamp(0.0, 1.0);
+        let at_all = if total < need.time_left.as_secs_f32() {
+            settings.late
+        } else {
+            0.0
+        };
+        let mut sound = 1.0 - self.error_rate(need.now, settings).clamp(0.0, 1.0);
+        if self.ill {
+            sound *= 0.5;
+        }
+        if self.is_avoided(need.now) {
+            sound *= 0.2;
+        }
+        // An answer that is late anyway is worth little, and so is its way.
+        let distance = if self.near {
+            0.0
+        } else {
+            settings.far_cost * in_time.max(0.2)
+        };
+        let crowd = 0.1 * self.crowd(need.now, settings);
+        (at_all + (1.0 - settings.late) * in_time) * sound - distance - crowd
+    }
+
+    /// Time until an answer.
+    pub fn expected_time(&self, need: &Need, settings: &PlacingSettings) -> Duration {
+        Duration::from_secs_f32(self.expected(need, settings))
+    }
+
+    /// Time until an answer, in seconds.
+    fn expected(&self, need: &Need, settings: &PlacingSettings) -> f32 {
+        let work = need.work.as_secs_f32() * self.slowness(need.now, settings);
+        let work = work * self.lag(need.now, settings).max(0.7);
+        let free = self.free(need.now, settings);
+        let waits = if free > 0 {
+            0.0
+        } else {
+            (1 - free) as f32 / self.slots as f32
+        };
+        (work * (1.0 + waits)).max(0.001)
+    }
+
+    /// How long work takes, as a multiple of the usual; an old report counts for less.
+    fn slowness(&self, now: Mono, settings: &PlacingSettings) -> f32 {
+        let cold = if now < self.warm_until {
+            settings.cold
+        } else {
+            1.0
+        };
+        match self.room {
+            Some((at, room)) => {
+                let trust = 1.0 - now.since(at).as_secs_f32() / settings.report_life.as_secs_f32();
+                let trust = trust.clamp(0.0, 1.0);
+                (1.0 + (room.slowness - 1.0) * trust) * cold
+            }
+            None => cold,
+        }
+    }
+
+    /// Free slots; below zero if requests wait.
+    fn free(&self, now: Mono, settings: &PlacingSettings) -> i32 {
+        let own = self.slots as i32 - self.flights.len() as i32;
+        match self.room {
+            Some((at, room)) if now.since(at) < settings.report_life => {
+                let taken = room.running + room.waiting + self.unreported;
+                own.min(room.slots as i32 - taken as i32)
+            }
+            _ => own,
+        }
+    }
+
+    /// Part of its slots that is taken, from 0 to 1.
+    fn crowd(&self, now: Mono, settings: &PlacingSettings) -> f32 {
+        let free = self.free(now, settings).max(0) as f32;
+        1.0 - (free / self.slots as f32).min(1.0)
+    }
+}
+
+/// How a request at a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// With an answer; `failed` if the server says that it failed.
+    Answered {
+        /// A status of failure.
+        failed: bool,
+    },
+    /// The server says that it did not run it.
+    Refused,
+    /// Without an answer.
+    Silent,
+    /// The daemon gave it up for a reason that isn't the server's.
+    Dropped,
+}
+
+/// Picks up to `count` servers to ask, the most promising first.
+///
+/// `candidates` are pairs of an index and what is believed of that server.
+pub fn shortlist<'a>(
+    candidates: impl Iterator<Item = (usize, &'a Standing)>,
+    need: &Need,
+    settings: &PlacingSettings,
+    count: usize,
+    rng: &mut Pcg32,
+) -> Vec<usize> {
+    // Noise as large as what separates two good servers spreads the choice over them.
+    let scored = candidates.map(|(i, standing)| {
+        let noise: f32 = rng.random_range(0.0..0.3);
+        (standing.score(need, settings) + noise, i)
+    });
+    let mut scored: Vec<(f32, usize)> = scored.collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+    scored.into_iter().take(count).map(|(_, i)| i).collect()
+}
+
+/// Decides what follows from the reports of the servers that were asked.
+pub fn decide<'a>(
+    asked: impl Iterator<Item = (usize, &'a Standing)>,
+    need: &Need,
+    progress: Progress,
+    settings: &PlacingSettings,
+) -> Step {
+    let scored = asked.map(|(i, s)| (s.score(need, settings), i));
+    let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
+    if let Some((score, i)) = best
+        && score >= settings.good
+    {
+        return Step::Send(i);
+    }
+    if progress.near_left > 0 {
+        return Step::LookNear;
+    }
+    // Until the latest start that still meets the aim, a server may get faster or free.
+    let latest = need.work.mul_f32(1.3) + settings.pause;
+    let can_wait = need.aim_left > latest;
+    if can_wait && progress.waited < settings.near_wait {
+        return Step::Pause;
+    }
+    if progress.far_left > 0 {
+        return Step::LookFar;
+    }
+    match best {
+        Some((score, i)) if !can_wait && score > 0.0 => Step::Send(i),
+        _ => Step::Pause,
+    }
+}
--- /dev/null
+++ b/cuminspread/src/coordination/reader.rs
@@ -0,0 +1,175 @@
+//! Who reads the platform's store, and when.
+//!
+//! Reads are priced and all daemons together may make only so many, so one daemon reads at a pace
+//! and hands on what is new. Daemons that hear of no successful read for [`ReaderSettings::patience`]
+//! read for themselves, at random moments so that mostly one of them starts; of two that read, the
+//! one with the higher rank stops when it hears the other. No agreement is needed: too many readers
+//! cost money, none costs at most the patience.
+//!
+//! Load pattern: the reader is killed, cut off or refused by the store right after a server began to
+//! leave; another must read the news within the platform's bound.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand_pcg::Pcg32;
+
+use crate::state::time::Mono;
+
+/// Settings of the reader.
+#[derive(Debug, Clone)]
+pub struct ReaderSettings {
+    /// Time between two reads of the reader; a part of the shortest bound on news (2 s).
+    pub pace: Duration,
+    /// Time without word of a successful read after which a daemon reads itself.
+    pub patience: Duration,
+    /// Random time added to the patience.
+    pub stagger: Duration,
+    /// Pause after the first failed read; it doubles with each further one.
+    pub retry: Duration,
+    /// Longest pause after failed reads.
+    pub max_retry: Duration,
+    /// Longest time for a first read; it doubles with each failure.
+    pub timeout: Duration,
+    /// Longest time for a read.
+    pub max_timeout: Duration,
+    /// Time without any successful read after which entries may have lapsed.
+    pub outage: Duration,
+}
+
+impl Default for ReaderSettings {
+    fn default() -> Self {
+        Self {
+            pace: Duration::from_millis(600),
+            patience: Duration::from_millis(1000),
+            stagger: Duration::from_millis(400),
+            retry: Duration::from_millis(100),
+            max_retry: Duration::from_millis(1600),
+            timeout: Duration::from_millis(400),
+            max_timeout: Duration::from_millis(1600),
+            outage: Duration::from_millis(2500),
+        }
+    }
+}
+
+/// Whether this daemon reads the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It relies on another one.
+    Follower,
+    /// It reads at the pace.
+    Reader,
+}
+
+/// Decides when this daemon reads.
+#[derive(Debug)]
+pub struct Reader {
+    settings: ReaderSettings,
+    rank: u64,
+    rng: Pcg32,
+    role: Role,
+    last_read: Option<Mono>,
+    next: Mono,
+    failures: u32,
+    reading: bool,
+}
+
+impl Reader {
+    /// Daemon that first reads after `delay`, unless it hears of a read before.
+    pub fn new(settings: ReaderSettings, rank: u64, seed: u64, delay: Duration) -> Self {
+        Self {
+            settings,
+            rank,
+            rng: Pcg32::new(seed, rank),
+            role: Role::Follower,
+            last_read: None,
+            next: Mono::default() + delay,
+            failures: 0,
+            reading: false,
+        }
+    }
+
+    /// Present role.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Time since the last read that succeeded at any daemon, as far as is known.
+    pub fn age(&self, now: Mono) -> Option<Duration> {
+        self.last_read.map(|t| now.since(t))
+    }
+
+    /// Failed reads of this daemon in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Whether entries may have lapsed because nobody could reach the store.
+    pub fn is_outage(&self, now: Mono) -> bool {
+        self.age(now).is_some_and(|age| age > self.settings.outage)
+    }
+
+    /// Time of the next read, if nothing is heard before.
+    pub fn next(&self) -> Option<Mono> {
+        (!self.reading).then_some(self.next)
+    }
+
+    /// Begins a read if one is due; gives its longest time.
+    pub fn begin(&mut self, now: Mono) -> Option<Duration> {
+        if self.reading || now < self.next {
+            return None;
+        }
+        self.reading = true;
+        let timeout = self.settings.timeout * (1 << self.failures.min(4));
+        Some(timeout.min(self.settings.max_timeout))
+    }
+
+    /// A read that was begun has succeeded.
+    pub fn succeeded(&mut self, now: Mono) {
+        self.reading = false;
+        self.failures = 0;
+        self.role = Role::Reader;
+        self.last_read = Some(now);
+        self.next = now + self.settings.pace;
+    }
+
+    /// A read that was begun has failed.
+    pub fn failed(&mut self, now: Mono) {
+        self.reading = false;
+        let pause = self.settings.retry * (1 << self.failures.min(6));
+        self.failures += 1;
+        let pause = pause.min(self.settings.max_retry);
+        self.next = now + pause + self.jitter(pause);
+        if self.failures > 1 {
+            self.role = Role::Follower;
+        }
+    }
+
+    /// Another daemon says that it has read the store, `age` ago.
+    pub fn heard(&mut self, now: Mono, rank: u64, age: Duration) {
+        let read = now - age;
+        if self.last_read.is_none_or(|last| read > last) {
+            self.last_read = Some(read);
+        }
+        let fresh = age < self.settings.patience;
+        let yields = self.role == Role::Reader && rank < self.rank && fresh;
+        if yields || self.role == Role::Follower && fresh {
+            self.role = Role::Follower;
+            self.failures = 0;
+            let stagger = self.jitter(self.settings.stagger);
+            self.next = self.next.max(read + self.settings.patience + stagger);
+            self.next = self
+                .next
+                .min(now + self.settings.patience + self.settings.stagger);
+        }
+    }
+
+    /// This daemon was paused or the time jumped: what it knows may be old.
+    pub fn resumed(&mut self, now: Mono) {
+        self.next = self.next.min(now);
+    }
+
+    fn jitter(&mut self, span: Duration) -> Duration {
+        span.mul_f64(self.rng.random_range(0.0..1.0))
+    }
+}
--- a/cuminspread/src/protocol.rs
+++ b/cuminspread/src/protocol.rs
@@ -1,5 +1,6 @@
 //! Typed messages between daemons, and the headers shared with callers and servers.
 
+pub mod bulletin;
 pub mod claim;
 pub mod envelope;
 pub mod header;
--- /dev/null
+++ b/cuminspread/src/protocol/bulletin.rs
@@ -0,0 +1,103 @@
+//! What daemons tell each other where no list of them is published.
+//!
+//! Datagrams carry what is new; a daemon that is behind pulls the rest over a stream. Variants are
+//! only ever added at the end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::catalog::{Dated, Entry};
+use crate::state::Name;
+use crate::state::routing::Routing;
+
+/// Longest datagram, in bytes; fits an Ethernet frame.
+pub const MAX_DATAGRAM: usize = 1200;
+
+/// One daemon, as it names itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Daemon {
+    /// Where peers reach it, UDP and TCP on the same port.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Its start, in milliseconds since the Unix epoch.
+    pub started: u64,
+}
+
+/// How far a daemon's knowledge goes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Extent {
+    /// Revision of the registry.
+    pub revision: u64,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
+/// News of a successful read of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Bulletin {
+    /// Daemon that made the read.
+    pub reader: Daemon,
+    /// Time since the read.
+    pub age: Duration,
+    /// What the reader knows.
+    pub extent: Extent,
+    /// The changes are complete from this revision on.
+    pub base: u64,
+    /// Changes of the registry.
+    pub changes: Vec<Dated>,
+    /// The receiver passes it on to the peers of its data centre.
+    pub relay: bool,
+}
+
+/// A request that crashed servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Servers that it has crashed, as far as the sender knows.
+    pub count: u32,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Notice {
+    /// The sender is there, and asks for peers.
+    Hello(Daemon),
+    /// Some peers that the sender knows, itself first.
+    Peers(Vec<Daemon>),
+    /// News.
+    Bulletin(Bulletin),
+    /// The sender stops.
+    Leaving(Daemon),
+    /// Requests that crashed servers.
+    Crashes(Vec<Crash>),
+}
+
+/// Asks for what is beyond the own extent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Pull {
+    /// What the sender has.
+    pub have: Extent,
+}
+
+/// Answer to a [`Pull`].
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Supply {
+    /// Newer configuration.
+    pub routing: Option<Arc<Routing>>,
+    /// Whole copy of the registry and its revision, if that is newer.
+    pub registry: Option<(u64, Vec<(u64, Entry)>)>,
+    /// Some peers.
+    pub peers: Vec<Daemon>,
+}
--- a/cuminspread/src/state.rs
+++ b/cuminspread/src/state.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod folder;
 pub mod load;
+pub mod routing;
 pub mod table;
 pub mod time;
 
--- a/cuminspread/src/transport.rs
+++ b/cuminspread/src/transport.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod directory;
+pub mod gossip;
 pub mod peer;
 pub mod platform;
 pub mod record;
--- /dev/null
+++ b/cuminspreadd/src/edge/control.rs
@@ -0,0 +1,561 @@
+//! Learns routes and servers, from the store or from peers, and hands them on.
+//!
+//! Tasks of this module receive notices, answer pulls, and wait for the next thing that is due. What
+//! follows from them is decided by the library's [`Reader`], [`Mesh`] and [`Catalog`], which one
+//! mutex guards; it is never held across an await.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anyhow::Context as _;
+use cuminspread::coordination::catalog::{Catalog, Change, Dated};
+use cuminspread::coordination::mesh::Mesh;
+use cuminspread::coordination::reader::{Reader, Role};
+use cuminspread::protocol::bulletin::{Bulletin, Daemon, Extent, Notice, Pull, Supply};
+use cuminspread::state::routing::Routing;
+use cuminspread::state::time::Mono;
+use cuminspread::transport::gossip::Gossip;
+use cuminspread_platform::store::{ReadError, Reading, Servers, Store};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use super::state::Edge;
+
+/// Longest time for a connection to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest pause between two looks at what is due, so that a pause of the process is noticed.
+const LONGEST_SLEEP: Duration = Duration::from_millis(500);
+/// Delay beyond a timer's time that shows that the process was paused.
+const PAUSED: Duration = Duration::from_millis(700);
+/// Time that a daemon that isn't a seed waits for peers before it reads the store itself.
+const FIRST_WAIT: Duration = Duration::from_millis(150);
+/// Bulletins that repeat a change, since datagrams get lost.
+const REPEATS: usize = 3;
+/// Pause before a peer that doesn't have the news yet is asked again.
+const PULL_AGAIN: Duration = Duration::from_millis(40);
+/// Times that peers are asked for the same news.
+const PULL_TRIES: usize = 6;
+/// Time after the store's return in which missing entries may be back, with some slack.
+const RETURN_TIME: Duration = Duration::from_millis(2500);
+/// Longest pause of a listener after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug)]
+struct Knowledge {
+    catalog: Catalog,
+    reader: Reader,
+    mesh: Mesh,
+    /// Revisions of the last bulletins, newest last.
+    published: Vec<u64>,
+    /// Until then, missing entries may have lapsed while the store was away.
+    lapse_until: Mono,
+    tick_due: Mono,
+}
+
+/// Knowledge of one daemon and its links.
+#[derive(Debug)]
+pub struct Control {
+    edge: Arc<Edge>,
+    gossip: Gossip,
+    store: Store,
+    knowledge: Mutex<Knowledge>,
+    wake: Notify,
+    pulling: AtomicBool,
+}
+
+impl Control {
+    /// Binds the link to peers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link can't be bound or the store's client can't be set up.
+    pub async fn bind(edge: Arc<Edge>) -> anyhow::Result<Arc<Self>> {
+        let (settings, platform) = (&edge.settings, &edge.platform);
+        let gossip = Gossip::bind(settings.peer).await;
+        let gossip = gossip.with_context(|| format!("step=bind_peer peer={}", settings.peer))?;
+        let store = Store::new(platform.store, CONNECT_TIMEOUT);
+        let store = store.with_context(|| format!("step=store peer={}", platform.store))?;
+        let address = gossip.local().context("step=bind_peer")?;
+        let me = Daemon {
+            address,
+            data_centre: settings.data_centre.clone(),
+            started: edge.started_ms,
+        };
+        let is_seed = platform.seeds.contains(&address);
+        let first = if is_seed || platform.seeds.is_empty() {
+            Duration::ZERO
+        } else {
+            FIRST_WAIT
+        };
+        let (rank, seed) = (rank(address), edge.started_ms ^ rank(address));
+        let knowledge = Knowledge {
+            catalog: Catalog::default(),
+            reader: Reader::new(
+                platform.reader.clone(),
+                rank,
+                seed,
+                edge.now().since(Mono(0)) + first,
+            ),
+            mesh: Mesh::new(platform.mesh.clone(), me, platform.seeds.clone(), seed),
+            published: Vec::new(),
+            lapse_until: Mono::default(),
+            tick_due: edge.now(),
+        };
+        Ok(Arc::new(Self {
+            edge,
+            gossip,
+            store,
+            knowledge: Mutex::new(knowledge),
+            wake: Notify::new(),
+            pulling: AtomicBool::new(false),
+        }))
+    }
+
+    /// Starts the tasks.
+    pub fn start(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
+        vec![
+            tokio::spawn(receive(Arc::clone(self))),
+            tokio::spawn(accept(Arc::clone(self))),
+            tokio::spawn(tick(Arc::clone(self))),
+        ]
+    }
+
+    /// Tells peers that this daemon stops.
+    pub fn leave(&self) {
+        let now = self.edge.now();
+        let mut k = self.lock();
+        let notice = Notice::Leaving(k.mesh.me().clone());
+        let mut to = k.mesh.near(now);
+        to.extend(k.mesh.relays(now));
+        drop(k);
+        for peer in to {
+            self.gossip.send(peer, &notice);
+        }
+    }
+
+    /// Takes changed settings.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.lock().mesh.set_seeds(seeds);
+    }
+
+    /// What this daemon knows, for operators.
+    pub fn beliefs(&self) -> Beliefs {
+        let now = self.edge.now();
+        let k = self.lock();
+        Beliefs {
+            daemons: k.mesh.size(now),
+            revision: k.catalog.revision(),
+            reads_store: k.reader.role() == Role::Reader,
+            store_age: k.reader.age(now),
+            failed_reads: k.reader.failures(),
+            sent_bytes: self.gossip.counts().sent_bytes.load(Ordering::Relaxed),
+            received_bytes: self.gossip.counts().received_bytes.load(Ordering::Relaxed),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Knowledge> {
+        self.knowledge
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn extent(&self, k: &Knowledge) -> Extent {
+        Extent {
+            revision: k.catalog.revision(),
+            version: self.edge.version(),
+        }
+    }
+
+    /// Does what is due; gives the time of the next thing.
+    fn run_due(self: &Arc<Self>) -> Mono {
+        let now = self.edge.now();
+        let mut k = self.lock();
+        let late = now.since(k.tick_due);
+        if late > PAUSED {
+            log::warn!("event=paused for_ms={}", late.as_millis());
+            k.reader.resumed(now);
+        }
+        let greet = k.mesh.greet(now);
+        if !greet.is_empty() {
+            let hello = Notice::Hello(k.mesh.me().clone());
+            for peer in greet {
+                self.gossip.send(peer, &hello);
+            }
+        }
+        let gone = k.catalog.sweep(now);
+        let daemons = k.mesh.size(now);
+        if let Some(limit) = k.reader.begin(now) {
+            let after = k.catalog.revision();
+            tokio::spawn(Arc::clone(self).read(after, limit));
+        }
+        let next = k.reader.next().unwrap_or(now + LONGEST_SLEEP);
+        let next = next.min(k.mesh.next_greeting()).min(now + LONGEST_SLEEP);
+        k.tick_due = next;
+        drop(k);
+        let table = self.edge.table();
+        let mut fleet = self.edge.fleet();
+        fleet.set_daemons(daemons, &table);
+        for id in gone {
+            log::info!("event=server_gone server={id} cause=lapsed");
+            fleet.remove(&id);
+        }
+        next
+    }
+
+    async fn read(self: Arc<Self>, after: u64, limit: Duration) {
+        let mut result = if after == 0 {
+            self.store.copy(limit).await
+        } else {
+            self.store.changes(after, limit).await
+        };
+        if let Err(ReadError::Compacted) = result {
+            log::info!("event=store_history_gone after={after}");
+            self.edge.metrics.count_read("compacted");
+            result = self.store.copy(limit).await;
+        }
+        match result {
+            Ok(reading) => self.take_reading(reading),
+            Err(e) => self.note_failed_read(&e),
+        }
+        self.wake.notify_one();
+    }
+
+    fn note_failed_read(&self, e: &ReadError) {
+        let now = self.edge.now();
+        let mut k = self.lock();
+        let first = k.reader.failures() == 0;
+        let age = k.reader.age(now);
+        k.reader.failed(now);
+        drop(k);
+        self.edge.metrics.count_read("failed");
+        if first {
+            let store = self.edge.platform.store;
+            let age = age.unwrap_or_default().as_millis();
+            log::warn!("event=store_lost store={store} last_read_ms={age} cause=\"{e}\"");
+        }
+    }
+
+    fn take_reading(self: &Arc<Self>, reading: Reading) {
+        let now = self.edge.now();
+        self.edge.metrics.count_read("answered");
+        let mut k = self.lock();
+        if k.reader.failures() > 0 {
+            let age = k.reader.age(now).unwrap_or_default().as_millis();
+            log::info!("event=store_regained last_read_ms={age}");
+        }
+        if k.reader.is_outage(now) {
+            k.lapse_until = now + RETURN_TIME;
+        }
+        if k.reader.role() == Role::Follower {
+            log::info!("event=reads_store revision={}", reading.at);
+        }
+        k.reader.succeeded(now);
+        let lapsed = now < k.lapse_until;
+        let new = match reading.servers {
+            Servers::Copy(copy) => k.catalog.reconcile(now, reading.at, copy, lapsed),
+            Servers::Changes(changes) => take_changes(&mut k.catalog, now, changes, lapsed),
+        };
+        k.catalog.complete(reading.at);
+        drop(k);
+        if let Some(routing) = reading.routing {
+            self.edge.put_in_force(routing, "store");
+        }
+        self.apply(&new, "store", Duration::ZERO);
+        self.publish(now);
+    }
+
+    /// Brings servers up to date with changes of the catalog.
+    fn apply(&self, changes: &[Dated], source: &str, age: Duration) {
+        self.edge.set_registry_known();
+        let age = age.as_millis();
+        for dated in changes {
+            let revision = dated.revision;
+            match &dated.change {
+                Change::Reported(entry) => {
+                    log::info!(
+                        "event=server_known server={} service={} address={} draining={} born={} \
+                         revision={revision} source={source} age_ms={age}",
+                        entry.id,
+                        entry.service,
+                        entry.address,
+                        entry.draining,
+                        entry.born
+                    );
+                }
+                Change::Removed { id, lapsed } => log::info!(
+                    "event=server_removed server={id} lapsed={lapsed} revision={revision} \
+                     source={source} age_ms={age}"
+                ),
+            }
+        }
+        // The catalog decides which reports hold, so its entries are taken, not the reports.
+        let k = self.lock();
+        let mut fleet = self.edge.fleet();
+        for dated in changes {
+            let id = dated.change.id();
+            match k.catalog.entry(id) {
+                Some(entry) => fleet.put(&self.edge, entry),
+                None => fleet.remove(id),
+            }
+        }
+    }
+
+    /// Hands on what this daemon has just read.
+    fn publish(&self, now: Mono) {
+        let mut k = self.lock();
+        let extent = self.extent(&k);
+        let base = k.published.first().copied().unwrap_or_default();
+        let changes = k.catalog.since(base);
+        k.published.push(extent.revision);
+        if k.published.len() > REPEATS {
+            k.published.remove(0);
+        }
+        let near = k.mesh.near(now);
+        let relays = k.mesh.relays(now);
+        let (base, changes) = match changes {
+            Some(changes) => (base, changes),
+            None => (extent.revision, Vec::new()),
+        };
+        let mut bulletin = Bulletin {
+            reader: k.mesh.me().clone(),
+            age: Duration::ZERO,
+            extent,
+            base,
+            changes,
+            relay: false,
+        };
+        drop(k);
+        self.send_bulletin(&near, &mut bulletin);
+        bulletin.relay = true;
+        self.send_bulletin(&relays, &mut bulletin);
+    }
+
+    fn send_bulletin(&self, to: &[SocketAddr], bulletin: &mut Bulletin) {
+        for peer in to {
+            let whole = Notice::Bulletin(bulletin.clone());
+            if !self.gossip.send(*peer, &whole) && !bulletin.changes.is_empty() {
+                // Too long for a datagram: peers pull the changes.
+                bulletin.base = bulletin.extent.revision;
+                bulletin.changes.clear();
+                self.gossip.send(*peer, &Notice::Bulletin(bulletin.clone()));
+            }
+        }
+    }
+
+    fn take_notice(self: &Arc<Self>, from: SocketAddr, notice: Notice) {
+        let now = self.edge.now();
+        match notice {
+            Notice::Hello(daemon) => {
+                let mut k = self.lock();
+                self.meet(&mut k, now, &daemon);
+                let peers = Notice::Peers(k.mesh.sample(now));
+                drop(k);
+                self.gossip.send(from, &peers);
+            }
+            Notice::Peers(daemons) => {
+                let mut k = self.lock();
+                if let Some(first) = daemons.first() {
+                    self.meet(&mut k, now, first);
+                }
+                k.mesh.named(now, &daemons);
+            }
+            Notice::Bulletin(bulletin) => self.take_bulletin(from, bulletin),
+            Notice::Leaving(daemon) => self.lock().mesh.left(&daemon),
+            Notice::Crashes(crashes) => {
+                let mut fleet = self.edge.fleet();
+                for crash in crashes {
+                    fleet.crashes.learn(now, crash.fingerprint);
+                }
+            }
+        }
+    }
+
+    fn meet(&self, k: &mut Knowledge, now: Mono, daemon: &Daemon) {
+        if k.mesh.heard(now, daemon) {
+            let (address, place) = (daemon.address, &daemon.data_centre);
+            log::info!("event=peer_known peer={address} data_centre={place}");
+        }
+    }
+
+    fn take_bulletin(self: &Arc<Self>, from: SocketAddr, mut bulletin: Bulletin) {
+        let now = self.edge.now();
+        let reader = bulletin.reader.address;
+        let mut k = self.lock();
+        self.meet(&mut k, now, &bulletin.reader);
+        let was = k.reader.role();
+        k.reader.heard(now, rank(reader), bulletin.age);
+        if was == Role::Reader && k.reader.role() == Role::Follower {
+            log::info!("event=leaves_reading_to reader={reader}");
+        }
+        let mut new = Vec::new();
+        let known = k.catalog.revision();
+        let follows = known > 0 && bulletin.base <= known;
+        if follows {
+            for dated in &bulletin.changes {
+                if k.catalog.apply(now, dated.clone()) {
+                    new.push(dated.clone());
+                }
+            }
+            k.catalog.complete(bulletin.extent.revision);
+        }
+        let behind = !follows && bulletin.extent.revision > known
+            || bulletin.extent.version > self.edge.version();
+        let near = if std::mem::take(&mut bulletin.relay) {
+            k.mesh.near(now)
+        } else {
+            Vec::new()
+        };
+        drop(k);
+        if !new.is_empty() {
+            self.apply(&new, "peer", bulletin.age);
+        }
+        if !near.is_empty() {
+            self.send_bulletin(&near, &mut bulletin);
+        }
+        if behind && !self.pulling.swap(true, Ordering::AcqRel) {
+            tokio::spawn(Arc::clone(self).pull(vec![from, reader], bulletin.extent));
+        }
+    }
+
+    /// Asks peers in turn until this daemon knows as much as they said.
+    async fn pull(self: Arc<Self>, peers: Vec<SocketAddr>, wanted: Extent) {
+        for i in 0..PULL_TRIES {
+            let have = self.extent(&self.lock());
+            if have.revision >= wanted.revision && have.version >= wanted.version {
+                break;
+            }
+            let peer = peers[i % peers.len()];
+            match self.gossip.pull(peer, Pull { have }).await {
+                Ok(supply) => self.take_supply(peer, supply),
+                Err(e) => log::info!("event=pull_failed peer={peer} cause=\"{e}\""),
+            }
+            let have = self.extent(&self.lock());
+            if have.revision < wanted.revision || have.version < wanted.version {
+                sleep(PULL_AGAIN).await;
+            }
+        }
+        self.pulling.store(false, Ordering::Release);
+    }
+
+    fn take_supply(&self, peer: SocketAddr, supply: Supply) {
+        let now = self.edge.now();
+        if let Some(routing) = supply.routing {
+            self.edge.put_in_force(routing, "peer");
+        }
+        let mut k = self.lock();
+        k.mesh.named(now, &supply.peers);
+        let mut new = Vec::new();
+        if let Some((revision, copy)) = supply.registry {
+            let lapsed = k.reader.is_outage(now);
+            new = k.catalog.reconcile(now, revision, copy, lapsed);
+        }
+        drop(k);
+        log::info!("event=pulled peer={peer} changes={}", new.len());
+        self.apply(&new, "peer", Duration::ZERO);
+    }
+
+    fn supply(&self, pull: Pull) -> Supply {
+        let now = self.edge.now();
+        let mut k = self.lock();
+        let routing: &Arc<Routing> = &Arc::clone(self.edge.table().routing());
+        let newer = routing.version > pull.have.version;
+        let revision = k.catalog.revision();
+        let registry = (revision > pull.have.revision).then(|| (revision, k.catalog.copy()));
+        Supply {
+            routing: newer.then(|| Arc::clone(routing)),
+            registry,
+            peers: k.mesh.sample(now),
+        }
+    }
+}
+
+/// What a daemon knows of its surroundings.
+#[derive(Debug, Clone)]
+pub struct Beliefs {
+    /// Daemons heard lately, this one included.
+    pub daemons: usize,
+    /// Revision of the registry.
+    pub revision: u64,
+    /// It reads the store for others.
+    pub reads_store: bool,
+    /// Time since the last successful read of any daemon.
+    pub store_age: Option<Duration>,
+    /// Own reads that failed in a row.
+    pub failed_reads: u32,
+    /// Bytes sent to peers.
+    pub sent_bytes: u64,
+    /// Bytes received from peers.
+    pub received_bytes: u64,
+}
+
+/// Rank among readers: the lower one goes on.
+fn rank(address: SocketAddr) -> u64 {
+    match address {
+        SocketAddr::V4(v4) => u64::from(v4.ip().to_bits()) << 16 | u64::from(v4.port()),
+        SocketAddr::V6(v6) => u64::from(v6.port()),
+    }
+}
+
+fn take_changes(
+    catalog: &mut Catalog,
+    now: Mono,
+    changes: Vec<Dated>,
+    may_have_lapsed: bool,
+) -> Vec<Dated> {
+    let mut new = Vec::new();
+    for mut dated in changes {
+        if let Change::Removed { lapsed, .. } = &mut dated.change {
+            *lapsed = may_have_lapsed;
+        }
+        if catalog.apply(now, dated.clone()) {
+            new.push(dated);
+        }
+    }
+    new
+}
+
+async fn receive(control: Arc<Control>) {
+    let mut buf = vec![0; 2048];
+    loop {
+        let (from, notice) = control.gossip.receive(&mut buf).await;
+        control.take_notice(from, notice);
+    }
+}
+
+async fn accept(control: Arc<Control>) {
+    loop {
+        match control.gossip.accept().await {
+            Ok(stream) => {
+                let control = Arc::clone(&control);
+                tokio::spawn(async move {
+                    let served = control.gossip.serve(stream, |pull| control.supply(pull));
+                    if let Err(e) = served.await {
+                        log::debug!("event=pull_unserved cause=\"{e}\"");
+                    }
+                });
+            }
+            Err(e) => {
+                log::warn!("event=accept_failed listener=peer cause={e:?}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn tick(control: Arc<Control>) {
+    loop {
+        let next = control.run_due();
+        let until = control.edge.instant(next);
+        // Woken early when a read has ended.
+        let _ = timeout(LONGEST_SLEEP, async {
+            tokio::select! {
+                () = sleep_until(until) => {}
+                () = control.wake.notified() => {}
+            }
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/cuminspreadd/src/edge/exchange.rs
@@ -0,0 +1,137 @@
+//! One send of a request to one server, and what its end proves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use cuminspread::state::Name;
+use cuminspread::transport::upstream::exchange::{Exchange, Written};
+use cuminspread::transport::upstream::{Choice, Upstream};
+use cuminspread_platform::headers::{self as platform, Marks};
+use http::header::CONTENT_LENGTH;
+use http::response::Parts;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::Full;
+
+use super::state::Edge;
+use crate::headers;
+
+/// Refusals are short; what is longer is no refusal that the connection survives.
+const MAX_REFUSAL: usize = 64 << 10;
+
+/// A request as it goes to servers; the same for all sends.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Identity of the client's attempt.
+    pub id: Name,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// End-to-end fields.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// How one send ended.
+#[derive(Debug)]
+pub enum Sent {
+    /// A whole answer of the server's.
+    Whole(Parts, Bytes, Marks),
+    /// An answer of the server's whose body is still arriving.
+    Large(Parts, Bytes, Exchange, Marks),
+    /// Proven not to have run.
+    NotRun(&'static str, Option<Marks>),
+    /// No answer that can be passed on; it may have run.
+    Unknown(&'static str),
+}
+
+/// Sends a request and reads the beginning of its answer.
+///
+/// Dropping the future closes the connection, upon which servers stop most work.
+pub async fn send(edge: &Edge, upstream: &Arc<Upstream>, out: &Outgoing, left: Duration) -> Sent {
+    let conn = match upstream.connection(Choice::Any).await {
+        Ok(conn) => conn,
+        Err(e) => {
+            log::debug!(
+                "event=send_failed id={} server={} {e}",
+                out.id,
+                upstream.name()
+            );
+            return Sent::NotRun("unreachable", None);
+        }
+    };
+    let written = Written::start(&conn);
+    let req = build(out, upstream.name(), left);
+    let (head, mut rest) = match Exchange::send(conn, req).await {
+        Ok(answer) => answer,
+        Err(e) => {
+            log::debug!(
+                "event=send_failed id={} server={} {e}",
+                out.id,
+                upstream.name()
+            );
+            return if written.count() == 0 {
+                Sent::NotRun("not_written", None)
+            } else {
+                Sent::Unknown("broken")
+            };
+        }
+    };
+    let marks = platform::read_marks(head.status, &head.headers, &out.id);
+    if marks.own == Some(false) {
+        return Sent::Unknown("foreign_answer");
+    }
+    let mut body = BytesMut::new();
+    if marks.not_run {
+        if let Ok(true) = rest.read_up_to(MAX_REFUSAL, &mut body).await {
+            rest.finish();
+        }
+        let reason = if marks.misdirected {
+            "misdirected"
+        } else {
+            "refused"
+        };
+        return Sent::NotRun(reason, Some(marks));
+    }
+    if marks.altered {
+        return Sent::Unknown("altered");
+    }
+    if !marks.signed || marks.own.is_none() {
+        return Sent::Unknown("unsigned");
+    }
+    let limit = edge.settings.servers.stream_above;
+    match rest.read_up_to(limit, &mut body).await {
+        Ok(true) => {
+            rest.finish();
+            Sent::Whole(head, body.freeze(), marks)
+        }
+        Ok(false) => Sent::Large(head, body.freeze(), rest, marks),
+        Err(e) => {
+            log::debug!(
+                "event=send_failed id={} server={} {e}",
+                out.id,
+                upstream.name()
+            );
+            Sent::Unknown("cut_short")
+        }
+    }
+}
+
+fn build(out: &Outgoing, server: &str, left: Duration) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(out.body.clone()));
+    *req.method_mut() = out.method.clone();
+    *req.uri_mut() = out.target.clone();
+    *req.headers_mut() = out.headers.clone();
+    platform::stamp(req.headers_mut(), left, server);
+    req
+}
+
+/// Fields of a request that go on to a server.
+pub fn forwarded(mut fields: HeaderMap) -> HeaderMap {
+    headers::strip_connection(&mut fields);
+    fields.remove(CONTENT_LENGTH);
+    fields.remove(http::header::EXPECT);
+    fields
+}
--- /dev/null
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -0,0 +1,192 @@
+//! Counts and times for operators, in the `OpenMetrics` text format.
+
+use std::fmt;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use cuminspread::state::Name;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::metrics::Label;
+
+/// Shortest bucket of the latency histogram, in seconds.
+const FIRST_BUCKET_S: f64 = 0.004;
+/// Buckets of the latency histogram, each twice as long as the one before; the last is 16 s.
+const BUCKETS: u16 = 13;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct RequestLabels {
+    service: Label,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ServiceLabels {
+    service: Label,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ResultLabels {
+    result: &'static str,
+}
+
+type NewHistogram = fn() -> Histogram;
+
+/// Counts and times of one daemon.
+pub struct EdgeMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    latency: Family<ServiceLabels, Histogram, NewHistogram>,
+    looks: Family<ResultLabels, Counter>,
+    reads: Family<ResultLabels, Counter>,
+    /// Readings that are set when the metrics are written.
+    pub gauges: Gauges,
+}
+
+/// Readings that are set when the metrics are written.
+#[derive(Debug, Default)]
+pub struct Gauges {
+    /// Requests that haven't ended.
+    pub in_flight: Gauge,
+    /// Version of the configuration in force.
+    pub version: Gauge<u64, AtomicU64>,
+    /// Revision of the registry.
+    pub revision: Gauge<u64, AtomicU64>,
+    /// Daemons heard lately.
+    pub daemons: Gauge,
+    /// Bytes sent to peers.
+    pub sent: Gauge<u64, AtomicU64>,
+    /// Bytes received from peers.
+    pub received: Gauge<u64, AtomicU64>,
+    /// Log lines that were dropped.
+    pub lines_dropped: Gauge<u64, AtomicU64>,
+    /// Connections opened to servers.
+    pub connections: Gauge<u64, AtomicU64>,
+}
+
+impl EdgeMetrics {
+    /// Registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("cumin");
+        let new_histogram: NewHistogram =
+            || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
+        let requests = Family::<RequestLabels, Counter>::default();
+        let latency = Family::new_with_constructor(new_histogram);
+        let looks = Family::<ResultLabels, Counter>::default();
+        let reads = Family::<ResultLabels, Counter>::default();
+        let gauges = Gauges::default();
+        let r = &mut registry;
+        r.register("requests", "Requests by outcome", requests.clone());
+        let help = "Time from arrival to the final answer";
+        r.register_with_unit("request", help, Unit::Seconds, latency.clone());
+        r.register("looks", "Questions for a server's load", looks.clone());
+        r.register(
+            "store_reads",
+            "Reads of the platform's store",
+            reads.clone(),
+        );
+        r.register(
+            "in_flight",
+            "Requests that haven't ended",
+            gauges.in_flight.clone(),
+        );
+        r.register("config_version", "Version in force", gauges.version.clone());
+        r.register(
+            "registry_revision",
+            "Revision of the registry",
+            gauges.revision.clone(),
+        );
+        r.register("daemons", "Daemons heard lately", gauges.daemons.clone());
+        r.register(
+            "peer_sent_bytes",
+            "Bytes sent to peers",
+            gauges.sent.clone(),
+        );
+        r.register(
+            "peer_received_bytes",
+            "Bytes received from peers",
+            gauges.received.clone(),
+        );
+        r.register(
+            "log_lines_dropped",
+            "Log lines dropped",
+            gauges.lines_dropped.clone(),
+        );
+        r.register(
+            "server_connections",
+            "Connections opened",
+            gauges.connections.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            latency,
+            looks,
+            reads,
+            gauges,
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn count_request(&self, service: &Name, outcome: &'static str, reason: &'static str) {
+        let labels = RequestLabels {
+            service: Label(service.clone()),
+            outcome,
+            reason,
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Records the time of a request.
+    pub fn observe(&self, service: &Name, time: Duration) {
+        let labels = ServiceLabels {
+            service: Label(service.clone()),
+        };
+        self.latency
+            .get_or_create(&labels)
+            .observe(time.as_secs_f64());
+    }
+
+    /// Counts a question for a server's load.
+    pub fn count_look(&self, result: &'static str) {
+        self.looks.get_or_create(&ResultLabels { result }).inc();
+    }
+
+    /// Counts a read of the store.
+    pub fn count_read(&self, result: &'static str) {
+        self.reads.get_or_create(&ResultLabels { result }).inc();
+    }
+
+    /// Writes all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if formatting fails.
+    pub fn write(&self) -> Result<String, fmt::Error> {
+        let mut out = String::new();
+        encode(&mut out, &self.registry)?;
+        Ok(out)
+    }
+}
+
+impl Default for EdgeMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl fmt::Debug for EdgeMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EdgeMetrics").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/cuminspreadd/src/edge/settings.rs
@@ -0,0 +1,48 @@
+//! Settings that only a platform with a store needs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cuminspread::coordination::mesh::MeshSettings;
+use cuminspread::coordination::placing::PlacingSettings;
+use cuminspread::coordination::reader::ReaderSettings;
+
+/// Settings of a daemon on a platform with a store.
+#[derive(Debug, Clone)]
+pub struct EdgeSettings {
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Where the platform asks whether this daemon takes connections.
+    pub readiness: SocketAddr,
+    /// Daemons that are known from the start; their port is the own peer port.
+    pub seeds: Vec<SocketAddr>,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Repeated sends a service gets over the whole fleet, as a part of its requests.
+    pub retry_ratio: f32,
+    /// Repeated sends beyond that in one window, over the whole fleet.
+    pub retry_slack: f32,
+    /// Who reads the store.
+    pub reader: ReaderSettings,
+    /// Peers.
+    pub mesh: MeshSettings,
+    /// Choice of servers.
+    pub placing: PlacingSettings,
+}
+
+impl Default for EdgeSettings {
+    fn default() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            store: any,
+            readiness: any,
+            seeds: Vec::new(),
+            grace: Duration::from_secs(6),
+            retry_ratio: 0.2,
+            retry_slack: 64.0,
+            reader: ReaderSettings::default(),
+            mesh: MeshSettings::default(),
+            placing: PlacingSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/cuminspreadd/src/edge/state.rs
@@ -0,0 +1,405 @@
+//! What the parts of one daemon share: routes in force, servers, and counts.
+
+use std::collections::HashMap;
+use std::hash::{BuildHasher as _, Hasher as _, RandomState};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use cuminspread::coordination::catalog::Entry;
+use cuminspread::coordination::crash::{CrashSettings, Crashes};
+use cuminspread::coordination::placing::{End, Need, PlacingSettings, Room, Standing};
+use cuminspread::coordination::retry::Tokens;
+use cuminspread::coordination::shares::Shares;
+use cuminspread::state::Name;
+use cuminspread::state::routing::{Route, RouteTable, Routing};
+use cuminspread::state::time::Mono;
+use cuminspread::transport::clock::SystemClock;
+use cuminspread::transport::upstream::{Upstream, UpstreamSettings};
+use rand_pcg::Pcg32;
+
+use super::metrics::EdgeMetrics;
+use super::settings::EdgeSettings;
+use crate::settings::Settings;
+
+/// Part of the fleet's retry budget that is planned with; the rest covers uneven traffic.
+const RETRY_PART: f32 = 0.7;
+/// Part of the fleet's retry slack that is planned with.
+const SLACK_PART: f32 = 0.6;
+/// First guess of a route's work time, as a part of its aim.
+const WORK_OF_AIM: f32 = 0.35;
+/// Weight of one more sample of a route's work time.
+const WORK_WEIGHT: f32 = 0.05;
+/// Least connections that a daemon may hold to one server.
+const MIN_CONNECTIONS: u32 = 4;
+
+/// Key of a server within one daemon; never used again.
+pub type ServerKey = usize;
+
+/// One server.
+#[derive(Debug)]
+pub struct Server {
+    /// Its registration.
+    pub entry: Entry,
+    /// What is believed of it.
+    pub standing: Standing,
+    /// Connections to it.
+    pub upstream: Arc<Upstream>,
+    /// Time since which it has been asked for its load.
+    pub asked: Option<Mono>,
+}
+
+/// Servers, and what is known of services and routes.
+#[derive(Debug)]
+pub struct Fleet {
+    servers: HashMap<ServerKey, Server>,
+    keys: HashMap<Name, ServerKey>,
+    by_service: HashMap<Name, Vec<ServerKey>>,
+    next_key: ServerKey,
+    next_ticket: u64,
+    work: HashMap<Name, f32>,
+    tokens: HashMap<Name, Tokens>,
+    shares: HashMap<Name, Shares>,
+    daemons: usize,
+    /// Random choices.
+    pub rng: Pcg32,
+    /// Requests that crash servers.
+    pub crashes: Crashes,
+}
+
+/// Shared parts of one daemon.
+#[derive(Debug)]
+pub struct Edge {
+    /// Settings of the daemon.
+    pub settings: Settings,
+    /// Settings for the platform.
+    pub platform: EdgeSettings,
+    /// Counts and times.
+    pub metrics: EdgeMetrics,
+    /// Start of the daemon, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    clock: SystemClock,
+    started: Instant,
+    table: RwLock<Arc<RouteTable>>,
+    fleet: Mutex<Fleet>,
+    stopping: AtomicBool,
+    registry_known: AtomicBool,
+    in_flight: AtomicUsize,
+    buffered: AtomicUsize,
+}
+
+/// Counts one request until it is dropped.
+#[derive(Debug)]
+pub struct Running(Arc<Edge>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Edge {
+    /// Daemon that knows nothing yet.
+    pub fn new(settings: Settings, platform: EdgeSettings) -> Arc<Self> {
+        let clock = SystemClock::new();
+        let seed = if settings.seed == 0 {
+            RandomState::new().build_hasher().finish()
+        } else {
+            settings.seed
+        };
+        Arc::new(Self {
+            platform,
+            metrics: EdgeMetrics::new(),
+            started_ms: clock.now().wall.0,
+            clock,
+            started: Instant::now(),
+            table: RwLock::default(),
+            fleet: Mutex::new(Fleet::new(seed)),
+            stopping: AtomicBool::new(false),
+            registry_known: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            buffered: AtomicUsize::new(0),
+            settings,
+        })
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Mono {
+        self.clock.now().mono
+    }
+
+    /// Instant of a reading, for timers.
+    pub fn instant(&self, at: Mono) -> tokio::time::Instant {
+        (self.started + Duration::from_micros(at.0)).into()
+    }
+
+    /// Routes in force.
+    pub fn table(&self) -> Arc<RouteTable> {
+        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&table)
+    }
+
+    /// Version in force; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.table().routing().version
+    }
+
+    /// Puts a configuration in force, if it is newer; returns whether it is.
+    pub fn put_in_force(&self, routing: Arc<Routing>, source: &str) -> bool {
+        let before = self.version();
+        if routing.version <= before {
+            return false;
+        }
+        let (version, routes) = (routing.version, routing.routes.len());
+        let table = Arc::new(RouteTable::new(routing));
+        {
+            let mut held = self.table.write().unwrap_or_else(PoisonError::into_inner);
+            *held = Arc::clone(&table);
+        }
+        self.fleet().keep_routes(&table);
+        log::info!(
+            "event=in_force version={version} before={before} routes={routes} source={source}"
+        );
+        true
+    }
+
+    /// Servers and what is known of them.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A whole copy of the registry was read.
+    pub fn set_registry_known(&self) {
+        self.registry_known.store(true, Ordering::Release);
+    }
+
+    /// It has routes and servers, and isn't stopping.
+    pub fn is_ready(&self) -> bool {
+        self.version() > 0 && self.registry_known.load(Ordering::Acquire) && !self.is_stopping()
+    }
+
+    /// A planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Requests that haven't ended.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Counts a request.
+    pub fn begin(self: &Arc<Self>) -> Running {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        Running(Arc::clone(self))
+    }
+
+    /// Bytes of request bodies that are held.
+    pub fn buffered(&self) -> &AtomicUsize {
+        &self.buffered
+    }
+
+    /// Settings of the choice of servers.
+    pub fn placing(&self) -> &PlacingSettings {
+        &self.platform.placing
+    }
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        Self {
+            servers: HashMap::new(),
+            keys: HashMap::new(),
+            by_service: HashMap::new(),
+            next_key: 0,
+            next_ticket: 0,
+            work: HashMap::new(),
+            tokens: HashMap::new(),
+            shares: HashMap::new(),
+            daemons: 1,
+            rng: Pcg32::new(seed, 3),
+            crashes: Crashes::new(CrashSettings::default()),
+        }
+    }
+
+    /// Takes a server's registration.
+    pub fn put(&mut self, edge: &Edge, entry: &Entry) {
+        if let Some(key) = self.keys.get(&entry.id).copied() {
+            let known = self.servers.get_mut(&key).expect("keys name servers");
+            let same = known.entry.born == entry.born
+                && known.entry.address == entry.address
+                && known.entry.service == entry.service;
+            if same {
+                known.entry = entry.clone();
+                return;
+            }
+            self.remove(&entry.id);
+        }
+        let key = self.next_key;
+        self.next_key += 1;
+        let near = entry.data_centre == edge.settings.data_centre;
+        let table = edge.table();
+        let limit = table.service(&entry.service).map(|s| s.max_connections);
+        let upstream = Upstream::new(
+            entry.id.clone(),
+            entry.address,
+            self.connection_share(limit),
+            UpstreamSettings {
+                max_idle: 4,
+                ..edge.settings.servers.connections.clone()
+            },
+        );
+        let server = Server {
+            entry: entry.clone(),
+            standing: Standing::new(near, entry.slots, edge.now() + entry.warm_up),
+            upstream: Arc::new(upstream),
+            asked: None,
+        };
+        self.servers.insert(key, server);
+        self.keys.insert(entry.id.clone(), key);
+        let service = self.by_service.entry(entry.service.clone()).or_default();
+        service.push(key);
+    }
+
+    /// Drops a server that is gone; requests that it has go on.
+    pub fn remove(&mut self, id: &str) {
+        let Some(key) = self.keys.remove(id) else {
+            return;
+        };
+        if let Some(server) = self.servers.remove(&key)
+            && let Some(keys) = self.by_service.get_mut(&server.entry.service)
+        {
+            keys.retain(|k| *k != key);
+        }
+    }
+
+    /// Takes the number of daemons, which share the connections to a server.
+    pub fn set_daemons(&mut self, daemons: usize, table: &RouteTable) {
+        if std::mem::replace(&mut self.daemons, daemons.max(1)) == self.daemons {
+            return;
+        }
+        for server in self.servers.values() {
+            let limit = table.service(&server.entry.service);
+            let share = self.connection_share(limit.map(|s| s.max_connections));
+            server.upstream.set_share(share);
+        }
+    }
+
+    /// Connections that this daemon may hold to a server, of those that it accepts from all.
+    fn connection_share(&self, limit: Option<u32>) -> u32 {
+        // Half is left for daemons that aren't known and for a connection that is closing.
+        let share = limit.unwrap_or(u32::MAX) / (2 * self.daemons as u32).max(1);
+        share.max(MIN_CONNECTIONS)
+    }
+
+    /// A server.
+    pub fn server(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.servers.get_mut(&key)
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// Servers of a service that take new work.
+    pub fn usable(&self, service: &str) -> Vec<ServerKey> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let usable = |k: &&ServerKey| self.servers.get(k).is_some_and(|s| !s.entry.draining);
+        keys.filter(usable).copied().collect()
+    }
+
+    /// What is believed of some servers.
+    pub fn standings<'a>(
+        &'a self,
+        keys: &'a [ServerKey],
+    ) -> impl Iterator<Item = (ServerKey, &'a Standing)> + 'a {
+        let servers = keys.iter().filter_map(|k| Some((*k, self.servers.get(k)?)));
+        servers.map(|(k, s)| (k, &s.standing))
+    }
+
+    /// A request goes to a server; gives a ticket for its end.
+    pub fn note_sent(&mut self, key: ServerKey, need: &Need, settings: &PlacingSettings) -> u64 {
+        self.next_ticket += 1;
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.standing.note_sent(self.next_ticket, need, settings);
+        }
+        self.next_ticket
+    }
+
+    /// A request at a server has ended.
+    pub fn note_end(
+        &mut self,
+        now: Mono,
+        key: ServerKey,
+        ticket: u64,
+        end: End,
+        route: &Route,
+        settings: &PlacingSettings,
+    ) {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        let work = server.standing.note_end(now, ticket, end, settings);
+        if let Some(work) = work {
+            let known = self.work(route).as_secs_f32();
+            let sample = work.as_secs_f32().clamp(known * 0.2, known * 3.0);
+            let work = known + (sample - known) * WORK_WEIGHT;
+            self.work.insert(route.name.clone(), work);
+        }
+    }
+
+    /// A server reported its load.
+    pub fn note_room(&mut self, now: Mono, key: ServerKey, room: Room, healthy: Option<bool>) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.standing.note_room(now, room, healthy);
+        }
+    }
+
+    /// Usual time of a route's work.
+    pub fn work(&self, route: &Route) -> Duration {
+        let known = self.work.get(&route.name).copied();
+        let work = known.unwrap_or_else(|| route.aim.as_secs_f32() * WORK_OF_AIM);
+        Duration::from_secs_f32(work.max(0.001))
+    }
+
+    /// A request for a service arrived; it earns a part of a repeated send.
+    pub fn earn_retry(&mut self, service: &Name, settings: &EdgeSettings) {
+        self.tokens(service, settings).earn();
+    }
+
+    /// Takes one repeated send to a service out of this daemon's budget.
+    pub fn spend_retry(&mut self, service: &Name, settings: &EdgeSettings) -> bool {
+        self.tokens(service, settings).spend()
+    }
+
+    fn tokens(&mut self, service: &Name, settings: &EdgeSettings) -> &mut Tokens {
+        let ratio = settings.retry_ratio * RETRY_PART;
+        let burst = settings.retry_slack * SLACK_PART / self.daemons.max(8) as f32;
+        let tokens = self.tokens.entry(service.clone());
+        tokens.or_insert_with(|| Tokens::new(ratio, burst.max(1.0)))
+    }
+
+    /// Service that takes the next request of a route.
+    pub fn part(&mut self, route: &Route) -> Option<Name> {
+        if let [only] = route.parts.as_slice() {
+            return Some(only.service.clone());
+        }
+        let shares = self.shares.entry(route.name.clone()).or_default();
+        let weights: Vec<u32> = route.parts.iter().map(|p| p.weight).collect();
+        let i = shares.next(&weights, &mut self.rng)?;
+        route.parts.get(i).map(|p| p.service.clone())
+    }
+
+    /// Forgets routes that are no longer in force.
+    fn keep_routes(&mut self, table: &RouteTable) {
+        let in_force = |name: &Name| table.routing().routes.iter().any(|r| r.name == *name);
+        self.shares.retain(|name, _| in_force(name));
+        self.work.retain(|name, _| in_force(name));
+    }
+}
--- a/cuminspreadd/src/headers.rs
+++ b/cuminspreadd/src/headers.rs
@@ -37,6 +37,11 @@
     }
 }
 
+/// Removes the fields that concern one connection only.
+pub fn strip_connection(headers: &mut HeaderMap) {
+    strip_hop_by_hop(headers);
+}
+
 /// Removes the fields of an answer that end at this daemon.
 pub fn strip_answer(headers: &mut HeaderMap) {
     strip_hop_by_hop(headers);
--- a/cuminspreadd/src/lib.rs
+++ b/cuminspreadd/src/lib.rs
@@ -11,8 +11,8 @@
 pub mod attempt;
 pub mod call;
 pub mod claim;
-
 pub mod daemon;
+pub mod edge;
 pub mod engine;
 pub mod framing;
 pub mod front;
--- a/cuminspreadd/src/logging.rs
+++ b/cuminspreadd/src/logging.rs
@@ -1,17 +1,95 @@
 //! Logs to the console and to a file, one line of key=value pairs for each event.
+//!
+//! Serving never waits for the console: lines go through a bounded queue to a thread that writes
+//! them. Lines about failures have a budget of their own, so that a flood of ordinary lines can't
+//! push them out. Lines beyond a budget are dropped, and counted in the next line that is written.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::io::Write as _;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context as _;
 
 use crate::settings::LogSettings;
 
+/// Lines that wait for the console at most; about 300 KB.
+const QUEUE: usize = 1024;
+/// Ordinary lines a second; each costs about 10 µs of processor time.
+const ORDINARY_PER_S: f64 = 100.0;
+/// Lines about failures a second.
+const FAILURES_PER_S: f64 = 200.0;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines dropped since the start.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Lines that may still be written, refilled over time.
+#[derive(Debug)]
+struct Budget {
+    per_s: f64,
+    left: f64,
+    at: Instant,
+}
+
+impl Budget {
+    fn new(per_s: f64) -> Self {
+        Self {
+            per_s,
+            left: per_s,
+            at: Instant::now(),
+        }
+    }
+
+    fn take(&mut self) -> bool {
+        let now = Instant::now();
+        let refill = (now - self.at).as_secs_f64() * self.per_s;
+        self.at = now;
+        self.left = (self.left + refill).min(self.per_s);
+        let enough = self.left >= 1.0;
+        if enough {
+            self.left -= 1.0;
+        }
+        enough
+    }
+}
+
+#[derive(Debug)]
+struct Budgets {
+    ordinary: Budget,
+    failures: Budget,
+}
+
 /// Sets the process's logger up.
 ///
 /// # Errors
 ///
-/// Fails if the file can't be opened or a logger is set already.
+/// Fails if the file can't be opened, the writer can't be started or a logger is set already.
 pub fn init(settings: &LogSettings) -> anyhow::Result<()> {
+    let (tx, rx) = sync_channel(QUEUE);
+    std::thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&rx))
+        .context("step=log_thread")?;
+    let budgets = Mutex::new(Budgets {
+        ordinary: Budget::new(ORDINARY_PER_S),
+        failures: Budget::new(FAILURES_PER_S),
+    });
+    let console = fern::Output::call(move |record| {
+        let mut budgets = budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = if record.level() <= log::Level::Warn {
+            &mut budgets.failures
+        } else {
+            &mut budgets.ordinary
+        };
+        if !budget.take() || !queue(&tx, record.args().to_string()) {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    });
     let mut dispatch = fern::Dispatch::new()
         .format(|out, message, record| {
             let ms = SystemTime::now()
@@ -23,8 +101,9 @@
         })
         .level(log::LevelFilter::Warn)
         .level_for("cuminspread", settings.level)
+        .level_for("cuminspread_platform", settings.level)
         .level_for("cuminspreadd", settings.level)
-        .chain(std::io::stdout());
+        .chain(console);
     if let Some(file) = &settings.file {
         let opened = fern::log_file(file);
         dispatch = dispatch
@@ -32,3 +111,46 @@
     }
     dispatch.apply().context("step=logger")
 }
+
+fn queue(tx: &SyncSender<String>, line: String) -> bool {
+    tx.try_send(line).is_ok()
+}
+
+/// Writes lines until the process ends.
+fn write_lines(rx: &Receiver<String>) {
+    let mut told = 0;
+    let mut out = std::io::stdout();
+    while let Ok(line) = rx.recv() {
+        let mut text = line;
+        text.push('\n');
+        // Whatever else waits goes out with the same call.
+        while let Ok(line) = rx.try_recv() {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        let dropped = dropped();
+        if dropped > told {
+            text.push_str(&format!(
+                "level=warn event=log_dropped lines={}\n",
+                dropped - told
+            ));
+            told = dropped;
+        }
+        if out
+            .write_all(text.as_bytes())
+            .and_then(|()| out.flush())
+            .is_err()
+        {
+            // Nobody reads the console; the lines are counted as dropped.
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Time given to the writer before the process ends.
+const LAST_LINES: Duration = Duration::from_millis(20);
+
+/// Lets the writer finish; to be called right before the process ends.
+pub fn finish() {
+    std::thread::sleep(LAST_LINES);
+}
--- a/cuminspreadd/src/main.rs
+++ b/cuminspreadd/src/main.rs
@@ -7,8 +7,9 @@
 use anyhow::Context as _;
 use clap::{Arg, ArgAction, Command, value_parser};
 use cuminspreadd::daemon::Daemon;
-use cuminspreadd::logging;
+use cuminspreadd::edge::settings::EdgeSettings;
 use cuminspreadd::settings::{Settings, file};
+use cuminspreadd::{edge, logging};
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
@@ -57,6 +58,14 @@
     }
     settings.log.record = record.or(settings.log.record);
     logging::init(&settings.log)?;
+    if let Some(edge) = settings.edge.take() {
+        // One request costs a VM of a fifth of a core less without threads to wake.
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context("step=runtime")?;
+        return runtime.block_on(serve_edge(path, settings, edge));
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.workers)
         .enable_all()
@@ -65,6 +74,45 @@
     runtime.block_on(serve(settings))
 }
 
+async fn serve_edge(
+    path: &str,
+    settings: Settings,
+    edge: EdgeSettings,
+) -> anyhow::Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate()).context("step=signal")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("step=signal")?;
+    let mut hangup = signal(SignalKind::hangup()).context("step=signal")?;
+    let running = edge::run::Running::start(settings, edge).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(path, &running),
+        }
+    }
+    let whole = running.stop().await;
+    logging::finish();
+    Ok(if whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+/// Reads the settings again; a file with faults changes nothing.
+fn reload(path: &str, running: &edge::run::Running) {
+    let parsed = fs::read_to_string(path)
+        .map_err(anyhow::Error::from)
+        .and_then(|text| Ok(file::parse(path, &text)?));
+    match parsed {
+        Ok(Settings {
+            edge: Some(edge), ..
+        }) => running.reload(&edge),
+        Ok(_) => log::error!("event=reload_refused cause=\"no [store] section\""),
+        Err(e) => log::error!("event=reload_refused cause={:?}", format!("{e:#}")),
+    }
+}
+
 async fn serve(settings: Settings) -> anyhow::Result<ExitCode> {
     let mut terminate = signal(SignalKind::terminate()).context("step=signal")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("step=signal")?;
--- a/cuminspreadd/src/metrics.rs
+++ b/cuminspreadd/src/metrics.rs
@@ -25,7 +25,7 @@
 
 /// Label made of a shared name, so that counting a call allocates nothing.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-struct Label(Name);
+pub(crate) struct Label(pub(crate) Name);
 
 impl EncodeLabelValue for Label {
     fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
--- a/cuminspreadd/src/settings.rs
+++ b/cuminspreadd/src/settings.rs
@@ -14,6 +14,8 @@
 use cuminspread::state::Name;
 use cuminspread::transport::upstream::UpstreamSettings;
 
+use crate::edge::settings::EdgeSettings;
+
 /// Settings of one daemon; port 0 lets the kernel choose.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -51,6 +53,9 @@
     pub leases: LeaseSettings,
     /// Guards of the dispatcher that only tests switch off.
     pub guards: Guards,
+    /// The platform has a store, which names routes and servers; read by the program, not by
+    /// [`Daemon`](crate::daemon::Daemon).
+    pub edge: Option<EdgeSettings>,
 }
 
 impl Default for Settings {
@@ -74,6 +79,7 @@
             traces: TraceSettings::default(),
             leases: LeaseSettings::default(),
             guards: Guards::default(),
+            edge: None,
         }
     }
 }
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -3,9 +3,11 @@
 //! | section | keys |
 //! |---|---|
 //! | `daemon` | `name`, `data_centre`, `workers`, `seed`, `stop_bound_ms`, `max_depth` |
-//! | `listen` | `front`, `admin`, `peer` |
+//! | `listen` | `front`, `admin`, `peer`, `readiness` |
 //! | `platform` | `url` |
-//! | `peers` | `key`, `previous_key`, `lease_ms`, `renew_ms`, `skew_ms` |
+//! | `store` | `address` |
+//! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack` |
+//! | `peers` | `key`, `previous_key`, `lease_ms`, `renew_ms`, `skew_ms`, `seeds` |
 //! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
 //! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `max_stored` |
 //! | `traces` | `otlp`, `file` |
@@ -25,6 +27,7 @@
 use ini_core::{Item, Parser};
 
 use super::Settings;
+use crate::edge::settings::EdgeSettings;
 
 /// Longest duration that settings accept, in milliseconds.
 const MAX_DURATION_MS: u64 = 3_600_000;
@@ -171,6 +174,14 @@
             ("listen", "front") => s.front = address(value)?,
             ("listen", "admin") => s.admin = address(value)?,
             ("listen", "peer") => s.peer = address(value)?,
+            ("listen", "readiness") => edge(s).readiness = address(value)?,
+            ("store", "address") => edge(s).store = address(value)?,
+            ("peers", "seeds") => edge(s).seeds = addresses(value)?,
+            ("bounds", "grace_s") => edge(s).grace = seconds(value)?,
+            ("bounds", "retry_ratio") => edge(s).retry_ratio = fraction(value)?,
+            ("bounds", "retry_slack") => {
+                edge(s).retry_slack = number(value, 0..=1_000_000u32)? as f32
+            }
             ("platform", "url") => s.platform = url(value)?,
             ("peers", "key") => s.peer_keys.insert(0, secret(value)?),
             ("peers", "previous_key") => s.peer_keys.push(secret(value)?),
@@ -221,7 +232,19 @@
     }
 
     fn finish(mut self) -> Result<Settings, Faults> {
-        for (section, key) in REQUIRED {
+        if let Some(edge) = &mut self.settings.edge {
+            // Seeds are named by their addresses for operators; peers use one port everywhere.
+            let port = self.settings.peer.port();
+            for seed in &mut edge.seeds {
+                seed.set_port(port);
+            }
+        }
+        let required: &[(&str, &str)] = if self.settings.edge.is_some() {
+            &REQUIRED_WITH_STORE
+        } else {
+            &REQUIRED
+        };
+        for &(section, key) in required {
             let place = (section.to_owned(), key.to_owned());
             if !self.seen.contains_key(&place) {
                 section.clone_into(&mut self.section);
@@ -246,8 +269,16 @@
     }
 }
 
-const SECTIONS: [&str; 8] = [
-    "daemon", "listen", "platform", "peers", "callers", "servers", "traces", "log",
+const SECTIONS: [&str; 10] = [
+    "daemon", "listen", "platform", "store", "peers", "bounds", "callers", "servers", "traces",
+    "log",
+];
+
+/// Keys that a daemon on a platform with a store needs.
+const REQUIRED_WITH_STORE: [(&str, &str); 3] = [
+    ("daemon", "name"),
+    ("daemon", "data_centre"),
+    ("store", "address"),
 ];
 
 const REQUIRED: [(&str, &str); 4] = [
@@ -260,9 +291,11 @@
 fn unknown_key(section: &str) -> String {
     let allowed = match section {
         "daemon" => "name, data_centre, workers, seed, stop_bound_ms, max_depth",
-        "listen" => "front, admin, peer",
+        "listen" => "front, admin, peer, readiness",
+        "store" => "address",
+        "bounds" => "grace_s, retry_ratio, retry_slack",
         "platform" => "url",
-        "peers" => "key, previous_key, lease_ms, renew_ms, skew_ms",
+        "peers" => "key, previous_key, lease_ms, renew_ms, skew_ms, seeds",
         "callers" => {
             "head_timeout_ms, body_timeout_ms, max_head, max_headers, max_connections, max_buffered"
         }
@@ -307,6 +340,27 @@
         .ok_or_else(|| format!("{value:?} isn't an address; write IP:PORT, such as 10.0.0.1:8080"))
 }
 
+fn addresses(value: &str) -> Result<Vec<SocketAddr>, String> {
+    let texts = value.split(',').map(str::trim).filter(|t| !t.is_empty());
+    texts.map(address).collect()
+}
+
+fn seconds(value: &str) -> Result<Duration, String> {
+    let secs: Option<f64> = value.parse().ok();
+    let parsed = secs.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    let fits = parsed.filter(|d| !d.is_zero() && d.as_millis() <= u128::from(MAX_DURATION_MS));
+    fits.ok_or_else(|| format!("{value:?} isn't allowed; write seconds, such as 2.5"))
+}
+
+fn fraction(value: &str) -> Result<f32, String> {
+    let parsed = value.parse().ok().filter(|f| (0.0..=1.0).contains(f));
+    parsed.ok_or_else(|| format!("{value:?} isn't allowed; write a number from 0 to 1"))
+}
+
+fn edge(settings: &mut Settings) -> &mut EdgeSettings {
+    settings.edge.get_or_insert_default()
+}
+
 fn url(value: &str) -> Result<String, String> {
     let uri: Option<http::Uri> = value.parse().ok();
     let fits = |u: &http::Uri| {
