Requests wait in the daemon, and questions to servers have a budget

Change: waiting requests stand in one line for each service, only the first one asks, and a server's answer with a free slot wakes it. Questions come out of an allowance.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -27,3 +27,4 @@
 pub mod server;
 pub mod shares;
 pub mod spread;
+pub mod waiting;
--- a/cuminspread/src/coordination/placing.rs
+++ b/cuminspread/src/coordination/placing.rs
@@ -32,6 +32,8 @@
     pub pause: Duration,
     /// Longest wait for a near server before far ones are asked.
     pub near_wait: Duration,
+    /// Age up to which a report is used as if it had just been asked for.
+    pub fresh: Duration,
     /// Age at which a report is worth nothing.
     pub report_life: Duration,
     /// Time in which a belief about a slow or failing server halves.
@@ -55,6 +57,7 @@
             far_cost: 0.2,
             pause: Duration::from_millis(25),
             near_wait: Duration::from_millis(60),
+            fresh: Duration::from_millis(8),
             report_life: Duration::from_millis(100),
             half_life: Duration::from_secs(2),
             avoid: Duration::from_millis(250),
@@ -202,6 +205,12 @@
         self.room
     }
 
+    /// Whether its last report is as good as one that is asked for now.
+    pub fn is_fresh(&self, now: Mono, settings: &PlacingSettings) -> bool {
+        self.room
+            .is_some_and(|(at, _)| now.since(at) <= settings.fresh)
+    }
+
     /// Failures in a row.
     pub fn strikes(&self) -> u32 {
         self.strikes
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use cuminspread::coordination::placing::{self, End, Need, Progress, Step};
 use cuminspread::coordination::refusal::{self, Cause};
+use cuminspread::coordination::waiting::{Claim, Ticket};
 use cuminspread::state::Name;
 use cuminspread::state::routing::Route;
 use cuminspread::state::time::Mono;
@@ -22,8 +23,8 @@
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use http::response::Parts;
-use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::exchange::{Outgoing, Sent, send};
 use super::look::{Looked, look};
@@ -35,12 +36,16 @@
 const OTHER_ANSWERS: Duration = Duration::from_millis(2);
 /// A question that is open for longer than this shows a server that is silent.
 const OPEN_QUESTION: Duration = Duration::from_millis(15);
+/// Time after which a service whose servers are all silent counts as having none.
+const SILENCE: Duration = Duration::from_millis(100);
 /// Sends of one request that may end with a proof that it has not run.
 const MAX_SENDS: u32 = 5;
 /// Time by which an answer may follow the end of the time that a server was given.
 const LAST_ANSWER: Duration = Duration::from_millis(30);
 /// Silence, as a multiple of the expected time, after which a request may get a second server.
 const HEDGE_AFTER: f32 = 1.6;
+/// Multiple of the usual work time that most work takes at most.
+const AIM_WORK: f32 = 1.3;
 /// Part of the usual work time that must be left for a send to make sense.
 const LEAST_WORK: f32 = 0.6;
 
@@ -232,6 +237,7 @@
     let need = Need { now, ..target.need };
     let mut fleet = edge.fleet();
     let ticket = fleet.note_sent(target.key, &need, edge.placing());
+    fleet.queue(&job.service).line.note_sent(now);
     if let Some(server) = fleet.server(target.key) {
         trail.server = server.entry.id.clone();
         if let Some((at, room)) = server.standing.report() {
@@ -394,20 +400,23 @@
 /// Chooses a server; also gives the number of servers that were asked.
 async fn place(edge: &Arc<Edge>, job: &Job, tried: Vec<ServerKey>) -> (Result<Target, Cause>, u32) {
     let began = edge.now();
+    let settings = edge.placing();
     let mut asked: Vec<ServerKey> = Vec::new();
     let mut looks = 0;
+    let mut turn = Turn::new(edge, job);
     loop {
+        if let Err(cause) = turn.wait().await {
+            return (Err(cause), looks);
+        }
         let now = edge.now();
-        let left = Left::new(edge, job, &tried, &asked);
+        let left = Left::new(edge, job, &tried, &mut asked);
         let need = left.need;
-        if left.near.is_empty() && left.far.is_empty() && asked.is_empty() {
+        let nobody = left.near.is_empty() && left.far.is_empty() && asked.is_empty();
+        if nobody && (left.silent == 0 || now.since(began) > SILENCE) {
             return (Err(Cause::NoServer), looks);
         }
-        if need.time_left < need.work.mul_f32(LEAST_WORK) {
-            return (Err(Cause::NoRoom), looks);
-        }
         let waited = if left.no_near {
-            edge.placing().near_wait
+            settings.near_wait
         } else {
             now.since(began)
         };
@@ -416,7 +425,6 @@
             far_left: left.far.len(),
             waited,
         };
-        let settings = edge.placing();
         let step = {
             let fleet = edge.fleet();
             placing::decide(fleet.standings(&asked), &need, progress, settings)
@@ -441,22 +449,126 @@
             Step::LookNear => (left.near, settings.next_look),
             Step::LookFar => (left.far, settings.next_look),
             Step::Pause => {
-                sleep(settings.pause).await;
+                turn.pause();
                 asked.clear();
                 continue;
             }
         };
-        let keys = {
-            let mut fleet = edge.fleet();
-            let mut rng = fleet.rng.clone();
-            let standings = fleet.standings(&from);
-            let keys = placing::shortlist(standings, &need, settings, count, &mut rng);
-            fleet.rng = rng;
-            keys
+        let (keys, allowed) = shortlist(edge, &from, &need, count);
+        let (ask, skip) = keys.split_at(allowed);
+        looks += ask.len() as u32;
+        if !ask.is_empty() {
+            look_at(edge, ask).await;
+        }
+        asked.extend(ask);
+        asked.extend(skip);
+    }
+}
+
+/// Picks servers to ask; gives how many of them, from the first, may be asked now.
+fn shortlist(
+    edge: &Edge,
+    from: &[ServerKey],
+    need: &Need,
+    count: usize,
+) -> (Vec<ServerKey>, usize) {
+    let settings = edge.placing();
+    let mut fleet = edge.fleet();
+    let mut rng = fleet.rng.clone();
+    let standings = fleet.standings(from);
+    let keys = placing::shortlist(standings, need, settings, count, &mut rng);
+    fleet.rng = rng;
+    let allowed = fleet.take_looks(need.now, keys.len(), &edge.platform);
+    (keys, allowed)
+}
+
+/// Place of a request among those that wait for the same service.
+struct Turn<'a> {
+    edge: &'a Edge,
+    job: &'a Job,
+    claim: Claim,
+    waiting: Option<(Ticket, Arc<Notify>)>,
+}
+
+impl<'a> Turn<'a> {
+    fn new(edge: &'a Edge, job: &'a Job) -> Self {
+        let work = edge.fleet().work(&job.route);
+        let claim = Claim {
+            latest: job.arrived + job.route.aim - work.mul_f32(AIM_WORK),
+            priority: job.route.priority,
+            aim: job.route.aim,
         };
-        looks += keys.len() as u32;
-        look_at(edge, &keys).await;
-        asked.extend(keys);
+        Self {
+            edge,
+            job,
+            claim,
+            waiting: None,
+        }
+    }
+
+    /// Waits until no other request goes first; fails if that takes too long.
+    async fn wait(&mut self) -> Result<(), Cause> {
+        loop {
+            let now = self.edge.now();
+            let (wake_at, waiter) = {
+                let mut fleet = self.edge.fleet();
+                let work = fleet.work(&self.job.route);
+                let last = self.job.deadline - work.mul_f32(LEAST_WORK);
+                if now >= last {
+                    return Err(Cause::NoRoom);
+                }
+                let queue = fleet.queue(&self.job.service);
+                let Some((ticket, waiter)) = &self.waiting else {
+                    if !queue.line.is_behind(now, &self.claim) {
+                        return Ok(());
+                    }
+                    let wait = queue.line.expected_wait(now, &self.claim);
+                    if wait.is_some_and(|w| now + w > last) {
+                        return Err(Cause::NoRoom);
+                    }
+                    self.waiting = Some(queue.join(now, self.claim));
+                    continue;
+                };
+                let mut wake_at = last;
+                if queue.line.head(now) == Some(*ticket) {
+                    if now >= queue.look_at {
+                        return Ok(());
+                    }
+                    wake_at = last.min(queue.look_at);
+                }
+                (wake_at, Arc::clone(waiter))
+            };
+            tokio::select! {
+                () = waiter.notified() => {
+                    let mut fleet = self.edge.fleet();
+                    // A server has just reported room.
+                    fleet.queue(&self.job.service).look_at = Mono::default();
+                }
+                () = sleep_until(self.edge.instant(wake_at)) => {}
+            }
+        }
+    }
+
+    /// No server is good enough now; the request waits, and asks again after a pause.
+    fn pause(&mut self) {
+        let now = self.edge.now();
+        let mut fleet = self.edge.fleet();
+        let queue = fleet.queue(&self.job.service);
+        queue.look_at = now + self.edge.placing().pause;
+        if self.waiting.is_none() {
+            self.waiting = Some(queue.join(now, self.claim));
+        }
+    }
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        if let Some((ticket, _)) = self.waiting.take() {
+            let now = self.edge.now();
+            let mut fleet = self.edge.fleet();
+            let queue = fleet.queue(&self.job.service);
+            queue.leave(now, ticket, &self.claim);
+        }
     }
 }
 
@@ -465,12 +577,15 @@
     need: Need,
     near: Vec<ServerKey>,
     far: Vec<ServerKey>,
+    /// Servers that have been asked and don't answer.
+    silent: usize,
     /// No server of the data centre takes this request.
     no_near: bool,
 }
 
 impl Left {
-    fn new(edge: &Edge, job: &Job, tried: &[ServerKey], asked: &[ServerKey]) -> Self {
+    /// Sorts the servers of a service; those with fresh reports count as asked.
+    fn new(edge: &Edge, job: &Job, tried: &[ServerKey], asked: &mut Vec<ServerKey>) -> Self {
         let now = edge.now();
         let mut fleet = edge.fleet();
         let need = Need {
@@ -485,6 +600,7 @@
             need,
             near: Vec::new(),
             far: Vec::new(),
+            silent: 0,
             no_near: true,
         };
         for key in keys {
@@ -493,11 +609,14 @@
             };
             let near = server.standing.near;
             left.no_near &= !near;
-            let silent = server.asked.is_some_and(|t| now.since(t) > OPEN_QUESTION);
-            if silent || asked.contains(&key) {
+            if asked.contains(&key) {
                 continue;
             }
-            if near {
+            if server.standing.is_fresh(now, edge.placing()) {
+                asked.push(key);
+            } else if server.asked.is_some_and(|t| now.since(t) > OPEN_QUESTION) {
+                left.silent += 1;
+            } else if near {
                 left.near.push(key);
             } else {
                 left.far.push(key);
--- a/cuminspreadd/src/edge/look.rs
+++ b/cuminspreadd/src/edge/look.rs
@@ -49,7 +49,7 @@
     let cause = match asked {
         Ok(Ok(health)) if health.server.as_ref().is_none_or(|s| *s == id) => {
             if let Some(room) = health.room {
-                server.standing.note_room(now, room, Some(health.healthy));
+                fleet.note_room(now, key, room, Some(health.healthy));
             }
             edge.metrics.count_look("answered");
             return Looked::Answered;
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -11,12 +11,14 @@
 use cuminspread::coordination::placing::{End, Need, PlacingSettings, Room, Standing};
 use cuminspread::coordination::retry::Tokens;
 use cuminspread::coordination::shares::Shares;
+use cuminspread::coordination::waiting::{Claim, Line, Ticket};
 use cuminspread::state::Name;
 use cuminspread::state::routing::{Route, RouteTable, Routing};
 use cuminspread::state::time::Mono;
 use cuminspread::transport::clock::SystemClock;
 use cuminspread::transport::upstream::{Upstream, UpstreamSettings};
 use rand_pcg::Pcg32;
+use tokio::sync::Notify;
 
 use super::metrics::EdgeMetrics;
 use super::settings::EdgeSettings;
@@ -33,6 +35,11 @@
 /// Least connections that a daemon may hold to one server.
 const MIN_CONNECTIONS: u32 = 4;
 
+/// Part of the questions that servers allow which is planned with.
+const LOOKS_PART: f32 = 0.6;
+/// Time in which unused questions are saved, in seconds.
+const LOOKS_BURST_S: f32 = 3.0;
+
 /// Key of a server within one daemon; never used again.
 pub type ServerKey = usize;
 
@@ -61,12 +68,55 @@
     tokens: HashMap<Name, Tokens>,
     shares: HashMap<Name, Shares>,
     daemons: usize,
+    lines: HashMap<Name, Queue>,
+    looks: Allowance,
     /// Random choices.
     pub rng: Pcg32,
     /// Requests that crash servers.
     pub crashes: Crashes,
 }
 
+/// Requests that wait for a server of one service, and what wakes them.
+#[derive(Debug, Default)]
+pub struct Queue {
+    /// Their order.
+    pub line: Line,
+    /// Earliest time at which the first of them asks servers again.
+    pub look_at: Mono,
+    waiters: HashMap<Ticket, Arc<Notify>>,
+}
+
+impl Queue {
+    /// A request begins to wait; it is notified when it may be its turn.
+    pub fn join(&mut self, now: Mono, claim: Claim) -> (Ticket, Arc<Notify>) {
+        let ticket = self.line.join(now, claim);
+        let waiter = Arc::new(Notify::new());
+        self.waiters.insert(ticket, Arc::clone(&waiter));
+        (ticket, waiter)
+    }
+
+    /// A request no longer waits.
+    pub fn leave(&mut self, now: Mono, ticket: Ticket, claim: &Claim) {
+        self.line.leave(ticket, claim);
+        self.waiters.remove(&ticket);
+        self.wake(now);
+    }
+
+    /// Wakes the first request.
+    pub fn wake(&mut self, now: Mono) {
+        if let Some(waiter) = self.line.head(now).and_then(|t| self.waiters.get(&t)) {
+            waiter.notify_one();
+        }
+    }
+}
+
+/// Questions to servers that may still be asked, refilled over time.
+#[derive(Debug, Default)]
+struct Allowance {
+    left: f32,
+    at: Mono,
+}
+
 /// Shared parts of one daemon.
 #[derive(Debug)]
 pub struct Edge {
@@ -222,6 +272,8 @@
             tokens: HashMap::new(),
             shares: HashMap::new(),
             daemons: 1,
+            lines: HashMap::new(),
+            looks: Allowance::default(),
             rng: Pcg32::new(seed, 3),
             crashes: Crashes::new(CrashSettings::default()),
         }
@@ -354,13 +406,37 @@
         }
     }
 
-    /// A server reported its load.
+    /// A server reported its load; if it has room, the first request that waits for it is woken.
     pub fn note_room(&mut self, now: Mono, key: ServerKey, room: Room, healthy: Option<bool>) {
-        if let Some(server) = self.servers.get_mut(&key) {
-            server.standing.note_room(now, room, healthy);
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        server.standing.note_room(now, room, healthy);
+        if room.running + room.waiting < room.slots
+            && let Some(queue) = self.lines.get_mut(&server.entry.service)
+        {
+            queue.wake(now);
         }
     }
 
+    /// Requests that wait for a service.
+    pub fn queue(&mut self, service: &Name) -> &mut Queue {
+        self.lines.entry(service.clone()).or_default()
+    }
+
+    /// Takes questions to servers out of this daemon's allowance; gives how many may be asked.
+    pub fn take_looks(&mut self, now: Mono, wanted: usize, settings: &EdgeSettings) -> usize {
+        let fleet = settings.looks_per_s * self.servers.len() as f32;
+        let per_s = fleet * LOOKS_PART / self.daemons as f32;
+        let burst = per_s * LOOKS_BURST_S;
+        let refill = now.since(self.looks.at).as_secs_f32() * per_s;
+        self.looks.left = (self.looks.left + refill).min(burst);
+        self.looks.at = now;
+        let taken = (self.looks.left as usize).min(wanted);
+        self.looks.left -= taken as f32;
+        taken
+    }
+
     /// Usual time of a route's work.
     pub fn work(&self, route: &Route) -> Duration {
         let known = self.work.get(&route.name).copied();
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -6,7 +6,7 @@
 //! | `listen` | `front`, `admin`, `peer`, `readiness` |
 //! | `platform` | `url` |
 //! | `store` | `address` |
-//! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack` |
+//! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
 //! | `peers` | `key`, `previous_key`, `lease_ms`, `renew_ms`, `skew_ms`, `seeds` |
 //! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
 //! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `max_stored` |
@@ -188,6 +188,7 @@
             ("peers", "lease_ms") => s.leases.lease = duration(value)?,
             ("peers", "renew_ms") => s.leases.renew = duration(value)?,
             ("peers", "skew_ms") => s.leases.skew = duration(value)?,
+            ("bounds", "looks_per_s") => edge(s).looks_per_s = number(value, 1..=10_000u32)? as f32,
             ("callers", _) => return self.set_callers(key, value),
             ("servers", _) => return self.set_servers(key, value),
             ("traces", "otlp") => s.traces.otlp = url(value)?,
@@ -293,7 +294,7 @@
         "daemon" => "name, data_centre, workers, seed, stop_bound_ms, max_depth",
         "listen" => "front, admin, peer, readiness",
         "store" => "address",
-        "bounds" => "grace_s, retry_ratio, retry_slack",
+        "bounds" => "grace_s, retry_ratio, retry_slack, looks_per_s",
         "platform" => "url",
         "peers" => "key, previous_key, lease_ms, renew_ms, skew_ms, seeds",
         "callers" => {
