--- a/cuminspread/src/coordination/placing.rs
+++ b/cuminspread/src/coordination/placing.rs
@@ -26,6 +26,12 @@
     pub next_look: usize,
     /// Score from which a server is taken without asking more.
     pub good: f32,
+    /// Chance that a server without a fresh report is as fast as usual.
+    pub trust: f32,
+    /// Score that a server of this daemon's own subset gets beyond others in a shortlist.
+    pub own: f32,
+    /// Near servers of one service in this daemon's own subset.
+    pub subset: usize,
     /// Part of a request's value that it costs to leave the data centre.
     pub far_cost: f32,
     /// Pause before the same servers are asked again; a fraction of how long a speed lasts.
@@ -54,10 +60,13 @@
             first_look: 2,
             next_look: 3,
             good: 0.75,
+            trust: 0.6,
+            own: 0.5,
+            subset: 8,
             far_cost: 0.2,
             pause: Duration::from_millis(25),
             near_wait: Duration::from_millis(60),
-            fresh: Duration::from_millis(8),
+            fresh: Duration::from_millis(12),
             report_life: Duration::from_millis(100),
             half_life: Duration::from_secs(2),
             avoid: Duration::from_millis(250),
@@ -127,6 +136,9 @@
     pub near: bool,
     /// Slots that it registered.
     pub slots: u32,
+    /// It is one of the near servers that this daemon asks first, so that connections are used
+    /// again; each daemon has its own.
+    pub own: bool,
     /// Until then it is slow from its start.
     pub warm_until: Mono,
     room: Option<(Mono, Room)>,
@@ -151,6 +163,8 @@
     pub aim_left: Duration,
     /// Time until the answer is useless.
     pub time_left: Duration,
+    /// Servers of this service don't tell their load.
+    pub blind: bool,
 }
 
 /// Next step of a placement.
@@ -183,6 +197,7 @@
         Self {
             near,
             slots: slots.max(1),
+            own: false,
             warm_until,
             room: None,
             unreported: 0,
@@ -326,6 +341,12 @@
         } else {
             0.0
         };
+        // Without a fresh report the server may be as slow as any.
+        let in_time = if need.blind || self.is_fresh(need.now, settings) {
+            in_time
+        } else {
+            in_time * settings.trust
+        };
         let mut sound = 1.0 - self.error_rate(need.now, settings).clamp(0.0, 1.0);
         if self.ill {
             sound *= 0.5;
@@ -379,12 +400,12 @@
     }
 
     /// Free slots; below zero if requests wait.
-    fn free(&self, now: Mono, settings: &PlacingSettings) -> i32 {
-        let own = self.slots as i32 - self.flights.len() as i32;
+    fn free(&self, now: Mono, settings: &PlacingSettings) -> i64 {
+        let own = i64::from(self.slots) - self.flights.len() as i64;
         match self.room {
             Some((at, room)) if now.since(at) < settings.report_life => {
                 let taken = room.running + room.waiting + self.unreported;
-                own.min(room.slots as i32 - taken as i32)
+                own.min(i64::from(room.slots) - i64::from(taken))
             }
             _ => own,
         }
@@ -426,13 +447,23 @@
     // Noise as large as what separates two good servers spreads the choice over them.
     let scored = candidates.map(|(i, standing)| {
         let noise: f32 = rng.random_range(0.0..0.3);
-        (standing.score(need, settings) + noise, i)
+        let own = if standing.own { settings.own } else { 0.0 };
+        (standing.score(need, settings) + noise + own, i)
     });
     let mut scored: Vec<(f32, usize)> = scored.collect();
     scored.sort_by(|a, b| b.0.total_cmp(&a.0));
     scored.into_iter().take(count).map(|(_, i)| i).collect()
 }
 
+/// Whether one of the servers that were asked is good enough.
+pub fn is_served<'a>(
+    mut asked: impl Iterator<Item = &'a Standing>,
+    need: &Need,
+    settings: &PlacingSettings,
+) -> bool {
+    asked.any(|s| s.score(need, settings) >= settings.good)
+}
+
 /// Decides what follows from the reports of the servers that were asked.
 pub fn decide<'a>(
     asked: impl Iterator<Item = (usize, &'a Standing)>,
--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             pace: Duration::from_millis(600),
-            patience: Duration::from_millis(1000),
+            patience: Duration::from_millis(1300),
             stagger: Duration::from_millis(400),
             retry: Duration::from_millis(100),
             max_retry: Duration::from_millis(1600),
@@ -72,6 +72,8 @@
     next: Mono,
     failures: u32,
     reading: bool,
+    /// A daemon of lower rank was heard while this one was reading.
+    yields: bool,
 }
 
 impl Reader {
@@ -86,6 +88,7 @@
             next: Mono::default() + delay,
             failures: 0,
             reading: false,
+            yields: false,
         }
     }
 
@@ -120,6 +123,7 @@
             return None;
         }
         self.reading = true;
+        self.yields = false;
         let timeout = self.settings.timeout * (1 << self.failures.min(4));
         Some(timeout.min(self.settings.max_timeout))
     }
@@ -128,9 +132,14 @@
     pub fn succeeded(&mut self, now: Mono) {
         self.reading = false;
         self.failures = 0;
-        self.role = Role::Reader;
         self.last_read = Some(now);
-        self.next = now + self.settings.pace;
+        if self.yields {
+            self.role = Role::Follower;
+            self.next = now + self.settings.patience + self.stagger();
+        } else {
+            self.role = Role::Reader;
+            self.next = now + self.settings.pace;
+        }
     }
 
     /// A read that was begun has failed.
@@ -152,16 +161,14 @@
             self.last_read = Some(read);
         }
         let fresh = age < self.settings.patience;
-        let yields = self.role == Role::Reader && rank < self.rank && fresh;
-        if yields || self.role == Role::Follower && fresh {
-            self.role = Role::Follower;
-            self.failures = 0;
-            let stagger = self.jitter(self.settings.stagger);
-            self.next = self.next.max(read + self.settings.patience + stagger);
-            self.next = self
-                .next
-                .min(now + self.settings.patience + self.settings.stagger);
+        if !fresh || self.role == Role::Reader && rank > self.rank {
+            return;
         }
+        self.role = Role::Follower;
+        self.failures = 0;
+        self.yields |= rank < self.rank;
+        let next = read + self.settings.patience + self.stagger();
+        self.next = self.next.max(next);
     }
 
     /// This daemon was paused or the time jumped: what it knows may be old.
@@ -169,6 +176,12 @@
         self.next = self.next.min(now);
     }
 
+    /// Random delay of which few are short: of a large fleet, too, only some start at first.
+    fn stagger(&mut self) -> Duration {
+        let unit: f64 = self.rng.random_range(0.0..1.0);
+        self.settings.stagger.mul_f64(unit.cbrt())
+    }
+
     fn jitter(&mut self, span: Duration) -> Duration {
         span.mul_f64(self.rng.random_range(0.0..1.0))
     }
--- a/cuminspread/src/protocol/bulletin.rs
+++ b/cuminspread/src/protocol/bulletin.rs
@@ -28,6 +28,16 @@
     pub started: u64,
 }
 
+/// A daemon, and when it was last there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Sighting {
+    /// Daemon.
+    pub daemon: Daemon,
+    /// Time since anybody heard it, in tenths of a second.
+    pub age: u16,
+}
+
 /// How far a daemon's knowledge goes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -73,7 +83,7 @@
     /// The sender is there, and asks for peers.
     Hello(Daemon),
     /// Some peers that the sender knows, itself first.
-    Peers(Vec<Daemon>),
+    Peers(Vec<Sighting>),
     /// News.
     Bulletin(Bulletin),
     /// The sender stops.
@@ -90,14 +100,26 @@
     pub have: Extent,
 }
 
+/// Newer part of the registry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Registry {
+    /// All entries, each with its revision.
+    Copy(Vec<(u64, Entry)>),
+    /// What changed since the puller's revision.
+    Changes(Vec<Dated>),
+}
+
 /// Answer to a [`Pull`].
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Supply {
     /// Newer configuration.
     pub routing: Option<Arc<Routing>>,
-    /// Whole copy of the registry and its revision, if that is newer.
-    pub registry: Option<(u64, Vec<(u64, Entry)>)>,
+    /// What is newer of the registry.
+    pub registry: Option<Registry>,
+    /// Revision that the puller has then.
+    pub revision: u64,
     /// Some peers.
-    pub peers: Vec<Daemon>,
+    pub peers: Vec<Sighting>,
 }
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -30,10 +30,8 @@
 use super::look::{Looked, look};
 use super::state::{Edge, Running, ServerKey};
 
-/// Longest wait for the first of the servers that were asked; near ones answer within 2 ms.
-const FIRST_ANSWER: Duration = Duration::from_millis(40);
-/// Longest wait for the others after the first answer.
-const OTHER_ANSWERS: Duration = Duration::from_millis(2);
+/// Longest wait for the servers that were asked; near ones answer within 2 ms.
+const ANSWERS: Duration = Duration::from_millis(40);
 /// A question that is open for longer than this shows a server that is silent.
 const OPEN_QUESTION: Duration = Duration::from_millis(15);
 /// Time after which a service whose servers are all silent counts as having none.
@@ -458,7 +456,7 @@
         let (ask, skip) = keys.split_at(allowed);
         looks += ask.len() as u32;
         if !ask.is_empty() {
-            look_at(edge, ask).await;
+            look_at(edge, ask, &need).await;
         }
         asked.extend(ask);
         asked.extend(skip);
@@ -478,6 +476,9 @@
     let standings = fleet.standings(from);
     let keys = placing::shortlist(standings, need, settings, count, &mut rng);
     fleet.rng = rng;
+    if need.blind {
+        return (keys, 0);
+    }
     let allowed = fleet.take_looks(need.now, keys.len(), &edge.platform);
     (keys, allowed)
 }
@@ -593,6 +594,7 @@
             work: fleet.work(&job.route),
             aim_left: (job.arrived + job.route.aim).since(now),
             time_left: job.deadline.since(now),
+            blind: fleet.is_blind(&job.service),
         };
         let mut keys = fleet.usable(&job.service);
         keys.retain(|k| !tried.contains(k));
@@ -626,25 +628,30 @@
     }
 }
 
-/// Asks servers at once; returns when the first and those soon after it have answered.
-async fn look_at(edge: &Arc<Edge>, keys: &[ServerKey]) {
+/// Asks servers at once; returns as soon as one is good enough, or all have answered.
+async fn look_at(edge: &Arc<Edge>, keys: &[ServerKey], need: &Need) {
     let tasks = keys
         .iter()
         .map(|k| tokio::spawn(look(Arc::clone(edge), *k)));
     let mut tasks: FuturesUnordered<_> = tasks.collect();
-    let first = async {
+    let answers = async {
         while let Some(looked) = tasks.next().await {
-            if matches!(looked, Ok(Looked::Answered)) {
+            if !matches!(looked, Ok(Looked::Answered)) {
+                continue;
+            }
+            let need = Need {
+                now: edge.now(),
+                ..*need
+            };
+            let fleet = edge.fleet();
+            let asked = fleet.standings(keys).map(|(_, s)| s);
+            if placing::is_served(asked, &need, edge.placing()) {
                 return;
             }
         }
     };
-    if timeout(FIRST_ANSWER, first).await.is_err() {
-        return;
-    }
     // Those that are later are noted when they answer.
-    let others = async { while tasks.next().await.is_some() {} };
-    let _ = timeout(OTHER_ANSWERS, others).await;
+    let _ = timeout(ANSWERS, answers).await;
 }
 
 fn report(edge: &Edge, job: &Job, trail: &Trail, answer: Option<&Reply>) {
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -13,11 +13,13 @@
 use cuminspread::coordination::catalog::{Catalog, Change, Dated};
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{Reader, Role};
-use cuminspread::protocol::bulletin::{Bulletin, Daemon, Extent, Notice, Pull, Supply};
+use cuminspread::protocol::bulletin::{Bulletin, Daemon, Extent, Notice, Pull, Registry, Supply};
 use cuminspread::state::routing::Routing;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip::Gossip;
 use cuminspread_platform::store::{ReadError, Reading, Servers, Store};
+use rand::RngExt as _;
+use rand_pcg::Pcg32;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -30,8 +32,11 @@
 const LONGEST_SLEEP: Duration = Duration::from_millis(500);
 /// Delay beyond a timer's time that shows that the process was paused.
 const PAUSED: Duration = Duration::from_millis(700);
-/// Time that a daemon that isn't a seed waits for peers before it reads the store itself.
-const FIRST_WAIT: Duration = Duration::from_millis(150);
+/// Time that a daemon that isn't a seed waits for peers before it reads the store itself: seeds may
+/// start 0.3 s later, and then need some calls.
+const FIRST_WAIT: Duration = Duration::from_millis(500);
+/// Random time added to that, so that not all read if no seed is there.
+const FIRST_SPREAD: Duration = Duration::from_millis(1000);
 /// Bulletins that repeat a change, since datagrams get lost.
 const REPEATS: usize = 3;
 /// Pause before a peer that doesn't have the news yet is asked again.
@@ -88,7 +93,7 @@
         let first = if is_seed || platform.seeds.is_empty() {
             Duration::ZERO
         } else {
-            FIRST_WAIT
+            FIRST_WAIT + FIRST_SPREAD.mul_f64(unit(edge.started_ms ^ rank(address)))
         };
         let (rank, seed) = (rank(address), edge.started_ms ^ rank(address));
         let knowledge = Knowledge {
@@ -125,11 +130,10 @@
 
     /// Tells peers that this daemon stops.
     pub fn leave(&self) {
-        let now = self.edge.now();
         let mut k = self.lock();
         let notice = Notice::Leaving(k.mesh.me().clone());
-        let mut to = k.mesh.near(now);
-        to.extend(k.mesh.relays(now));
+        let mut to = k.mesh.near();
+        to.extend(k.mesh.relays());
         drop(k);
         for peer in to {
             self.gossip.send(peer, &notice);
@@ -146,7 +150,7 @@
         let now = self.edge.now();
         let k = self.lock();
         Beliefs {
-            daemons: k.mesh.size(now),
+            daemons: k.mesh.size(),
             revision: k.catalog.revision(),
             reads_store: k.reader.role() == Role::Reader,
             store_age: k.reader.age(now),
@@ -186,7 +190,7 @@
             }
         }
         let gone = k.catalog.sweep(now);
-        let daemons = k.mesh.size(now);
+        let daemons = k.mesh.size();
         if let Some(limit) = k.reader.begin(now) {
             let after = k.catalog.revision();
             tokio::spawn(Arc::clone(self).read(after, limit));
@@ -264,7 +268,7 @@
             self.edge.put_in_force(routing, "store");
         }
         self.apply(&new, "store", Duration::ZERO);
-        self.publish(now);
+        self.publish();
     }
 
     /// Brings servers up to date with changes of the catalog.
@@ -304,7 +308,7 @@
     }
 
     /// Hands on what this daemon has just read.
-    fn publish(&self, now: Mono) {
+    fn publish(&self) {
         let mut k = self.lock();
         let extent = self.extent(&k);
         let base = k.published.first().copied().unwrap_or_default();
@@ -313,8 +317,8 @@
         if k.published.len() > REPEATS {
             k.published.remove(0);
         }
-        let near = k.mesh.near(now);
-        let relays = k.mesh.relays(now);
+        let near = k.mesh.near();
+        let relays = k.mesh.relays();
         let (base, changes) = match changes {
             Some(changes) => (base, changes),
             None => (extent.revision, Vec::new()),
@@ -355,12 +359,22 @@
                 drop(k);
                 self.gossip.send(from, &peers);
             }
-            Notice::Peers(daemons) => {
+            Notice::Peers(sightings) => {
                 let mut k = self.lock();
-                if let Some(first) = daemons.first() {
-                    self.meet(&mut k, now, first);
+                let new = k.mesh.named(now, &sightings);
+                let knows_nothing = k.catalog.revision() == 0;
+                drop(k);
+                for daemon in &new {
+                    note_peer(daemon);
+                }
+                if knows_nothing {
+                    // A daemon that has just started doesn't wait for the next bulletin.
+                    let wanted = Extent {
+                        revision: 1,
+                        version: 1,
+                    };
+                    self.start_pull(vec![from], wanted);
                 }
-                k.mesh.named(now, &daemons);
             }
             Notice::Bulletin(bulletin) => self.take_bulletin(from, bulletin),
             Notice::Leaving(daemon) => self.lock().mesh.left(&daemon),
@@ -375,8 +389,7 @@
 
     fn meet(&self, k: &mut Knowledge, now: Mono, daemon: &Daemon) {
         if k.mesh.heard(now, daemon) {
-            let (address, place) = (daemon.address, &daemon.data_centre);
-            log::info!("event=peer_known peer={address} data_centre={place}");
+            note_peer(daemon);
         }
     }
 
@@ -404,7 +417,7 @@
         let behind = !follows && bulletin.extent.revision > known
             || bulletin.extent.version > self.edge.version();
         let near = if std::mem::take(&mut bulletin.relay) {
-            k.mesh.near(now)
+            k.mesh.near()
         } else {
             Vec::new()
         };
@@ -415,8 +428,14 @@
         if !near.is_empty() {
             self.send_bulletin(&near, &mut bulletin);
         }
-        if behind && !self.pulling.swap(true, Ordering::AcqRel) {
-            tokio::spawn(Arc::clone(self).pull(vec![from, reader], bulletin.extent));
+        if behind {
+            self.start_pull(vec![from, reader], bulletin.extent);
+        }
+    }
+
+    fn start_pull(self: &Arc<Self>, peers: Vec<SocketAddr>, wanted: Extent) {
+        if !self.pulling.swap(true, Ordering::AcqRel) {
+            tokio::spawn(Arc::clone(self).pull(peers, wanted));
         }
     }
 
@@ -448,11 +467,22 @@
         let mut k = self.lock();
         k.mesh.named(now, &supply.peers);
         let mut new = Vec::new();
-        if let Some((revision, copy)) = supply.registry {
-            let lapsed = k.reader.is_outage(now);
-            new = k.catalog.reconcile(now, revision, copy, lapsed);
+        match supply.registry {
+            Some(Registry::Copy(copy)) => {
+                let lapsed = k.reader.is_outage(now);
+                new = k.catalog.reconcile(now, supply.revision, copy, lapsed);
+            }
+            Some(Registry::Changes(changes)) => {
+                let changes = changes.into_iter();
+                new.extend(changes.filter(|d| k.catalog.apply(now, d.clone())));
+                k.catalog.complete(supply.revision);
+            }
+            None => {}
         }
         drop(k);
+        if new.is_empty() {
+            return;
+        }
         log::info!("event=pulled peer={peer} changes={}", new.len());
         self.apply(&new, "peer", Duration::ZERO);
     }
@@ -463,10 +493,15 @@
         let routing: &Arc<Routing> = &Arc::clone(self.edge.table().routing());
         let newer = routing.version > pull.have.version;
         let revision = k.catalog.revision();
-        let registry = (revision > pull.have.revision).then(|| (revision, k.catalog.copy()));
+        let registry = (revision > pull.have.revision).then(|| {
+            let changes = k.catalog.since(pull.have.revision);
+            let copy = || Registry::Copy(k.catalog.copy());
+            changes.map_or_else(copy, Registry::Changes)
+        });
         Supply {
             routing: newer.then(|| Arc::clone(routing)),
             registry,
+            revision,
             peers: k.mesh.sample(now),
         }
     }
@@ -491,6 +526,11 @@
     pub received_bytes: u64,
 }
 
+fn note_peer(daemon: &Daemon) {
+    let (address, place) = (daemon.address, &daemon.data_centre);
+    log::info!("event=peer_known peer={address} data_centre={place}");
+}
+
 /// Rank among readers: the lower one goes on.
 fn rank(address: SocketAddr) -> u64 {
     match address {
@@ -499,6 +539,11 @@
     }
 }
 
+/// Number from 0 to 1 that looks random.
+fn unit(seed: u64) -> f64 {
+    Pcg32::new(seed, 11).random_range(0.0..1.0)
+}
+
 fn take_changes(
     catalog: &mut Catalog,
     now: Mono,
--- a/cuminspreadd/src/edge/look.rs
+++ b/cuminspreadd/src/edge/look.rs
@@ -48,6 +48,8 @@
     server.asked = None;
     let cause = match asked {
         Ok(Ok(health)) if health.server.as_ref().is_none_or(|s| *s == id) => {
+            let service = server.entry.service.clone();
+            fleet.note_blind(&service, health.room.is_none());
             if let Some(room) = health.room {
                 fleet.note_room(now, key, room, Some(health.healthy));
             }
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,7 +1,7 @@
 //! What the parts of one daemon share: routes in force, servers, and counts.
 
-use std::collections::HashMap;
-use std::hash::{BuildHasher as _, Hasher as _, RandomState};
+use std::collections::{HashMap, HashSet};
+use std::hash::{BuildHasher as _, DefaultHasher, Hash as _, Hasher as _, RandomState};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -69,6 +69,10 @@
     shares: HashMap<Name, Shares>,
     daemons: usize,
     lines: HashMap<Name, Queue>,
+    /// Services whose servers answered without telling their load.
+    blind: HashSet<Name>,
+    /// Number of this daemon in the choice of its own servers.
+    salt: u64,
     looks: Allowance,
     /// Random choices.
     pub rng: Pcg32,
@@ -273,6 +277,8 @@
             shares: HashMap::new(),
             daemons: 1,
             lines: HashMap::new(),
+            blind: HashSet::new(),
+            salt: seed,
             looks: Allowance::default(),
             rng: Pcg32::new(seed, 3),
             crashes: Crashes::new(CrashSettings::default()),
@@ -288,6 +294,7 @@
                 && known.entry.service == entry.service;
             if same {
                 known.entry = entry.clone();
+                self.choose_own(&entry.service, edge.placing().subset);
                 return;
             }
             self.remove(&entry.id);
@@ -316,6 +323,7 @@
         self.keys.insert(entry.id.clone(), key);
         let service = self.by_service.entry(entry.service.clone()).or_default();
         service.push(key);
+        self.choose_own(&entry.service, edge.placing().subset);
     }
 
     /// Drops a server that is gone; requests that it has go on.
@@ -330,6 +338,45 @@
         }
     }
 
+    /// Notes whether the servers of a service tell their load.
+    pub fn note_blind(&mut self, service: &Name, blind: bool) {
+        if blind {
+            self.blind.insert(service.clone());
+        } else {
+            self.blind.remove(service);
+        }
+    }
+
+    /// Whether the servers of a service don't tell their load.
+    pub fn is_blind(&self, service: &str) -> bool {
+        self.blind.contains(service)
+    }
+
+    /// Chooses the near servers of a service that this daemon asks first.
+    ///
+    /// Rendezvous hashing moves few of them when servers come and go, and spreads the daemons.
+    fn choose_own(&mut self, service: &Name, subset: usize) {
+        let keys = self.by_service.get(service).cloned().unwrap_or_default();
+        let mut ranked: Vec<(u64, ServerKey)> = Vec::new();
+        for key in keys {
+            let Some(server) = self.servers.get_mut(&key) else {
+                continue;
+            };
+            server.standing.own = false;
+            if server.standing.near && !server.entry.draining {
+                let mut hasher = DefaultHasher::new();
+                (self.salt, &server.entry.id).hash(&mut hasher);
+                ranked.push((hasher.finish(), key));
+            }
+        }
+        ranked.sort_unstable();
+        for (_, key) in ranked.into_iter().take(subset) {
+            if let Some(server) = self.servers.get_mut(&key) {
+                server.standing.own = true;
+            }
+        }
+    }
+
     /// Takes the number of daemons, which share the connections to a server.
     pub fn set_daemons(&mut self, daemons: usize, table: &RouteTable) {
         if std::mem::replace(&mut self.daemons, daemons.max(1)) == self.daemons {
