--- a/cuminspread/src/coordination/catalog.rs
+++ b/cuminspread/src/coordination/catalog.rs
@@ -20,8 +20,8 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2500);
 /// Time for which a removed server is remembered; longer than any copy of the registry is old.
 const TOMBSTONE: Duration = Duration::from_secs(120);
-/// Changes kept to bring peers up to date without a whole copy.
-const LOG_LEN: usize = 256;
+/// Changes kept to bring peers up to date without a whole copy; about 200 KB.
+const LOG_LEN: usize = 2048;
 
 /// One registered server.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -40,7 +40,7 @@
     pub away: Duration,
     /// Relays in each other data centre.
     pub relays: usize,
-    /// Peers named in one answer; about 30 bytes each.
+    /// Peers named in one answer; about 30 bytes each, and all must fit a datagram.
     pub sample: usize,
     /// Peers known at most.
     pub capacity: usize,
@@ -51,9 +51,9 @@
         Self {
             search: Duration::from_millis(200),
             greet: Duration::from_secs(1),
-            away: Duration::from_secs(20),
+            away: Duration::from_secs(30),
             relays: 2,
-            sample: 24,
+            sample: 32,
             capacity: 2048,
         }
     }
@@ -161,22 +161,35 @@
         vec![pool[self.rng.random_range(0..pool.len())]]
     }
 
-    /// Peers to name to one that asked, this daemon first.
-    pub fn sample(&mut self, now: Mono) -> Vec<Sighting> {
-        let mut peers: Vec<&Peer> = self.peers.values().collect();
-        let mut out = vec![Sighting {
+    /// Peers to name to one of a data centre that asked, this daemon first.
+    ///
+    /// Half are of its own data centre, since it hands news on to all of them.
+    pub fn sample(&mut self, now: Mono, place: &Name) -> Vec<Sighting> {
+        let (mut near, mut far): (Vec<&Peer>, Vec<&Peer>) = self
+            .peers
+            .values()
+            .partition(|p| p.daemon.data_centre == *place);
+        let mut named = Vec::new();
+        while named.len() < self.settings.sample && near.len() + far.len() > 0 {
+            let half = named.len() * 2 < self.settings.sample;
+            let pool = if near.is_empty() || !half && !far.is_empty() {
+                &mut far
+            } else {
+                &mut near
+            };
+            named.push(pool.swap_remove(self.rng.random_range(0..pool.len())));
+        }
+        let me = Sighting {
             daemon: self.me.clone(),
             age: 0,
-        }];
-        while out.len() < self.settings.sample && !peers.is_empty() {
-            let peer = peers.swap_remove(self.rng.random_range(0..peers.len()));
-            let age = now.since(peer.seen).as_millis() / TENTH.as_millis();
-            out.push(Sighting {
-                daemon: peer.daemon.clone(),
-                age: age.try_into().unwrap_or(u16::MAX),
-            });
-        }
-        out
+        };
+        let named = named.into_iter().map(|peer| Sighting {
+            daemon: peer.daemon.clone(),
+            age: (now.since(peer.seen).as_millis() / TENTH.as_millis())
+                .try_into()
+                .unwrap_or(u16::MAX),
+        });
+        std::iter::once(me).chain(named).collect()
     }
 
     /// Peers of the own data centre.
--- a/cuminspread/src/coordination/placing.rs
+++ b/cuminspread/src/coordination/placing.rs
@@ -24,7 +24,7 @@
     pub first_look: usize,
     /// Servers asked in each further round.
     pub next_look: usize,
-    /// Score from which a server is taken without asking more.
+    /// Part of the best score in reach from which a server is taken without asking more.
     pub good: f32,
     /// Chance that a server without a fresh report is as fast as usual.
     pub trust: f32,
@@ -191,6 +191,21 @@
     pub waited: Duration,
 }
 
+impl Need {
+    /// Chance of an answer within the aim if the work takes `expected`.
+    ///
+    /// Work times scatter: at the aim itself a third is in time, at two thirds of it nearly all.
+    fn in_time(&self, expected: f32) -> f32 {
+        ((self.aim_left.as_secs_f32() / expected - 0.8) / 0.7).clamp(0.0, 1.0)
+    }
+
+    /// Score from which a server is taken without asking more: a part of what is still in reach.
+    fn good(&self, settings: &PlacingSettings) -> f32 {
+        let in_time = self.in_time(self.work.as_secs_f32().max(0.001));
+        settings.good * (settings.late + (1.0 - settings.late) * in_time)
+    }
+}
+
 impl Standing {
     /// Server without a history.
     pub fn new(near: bool, slots: u32, warm_until: Mono) -> Self {
@@ -333,9 +348,7 @@
     /// Value of sending it a request: chance of an answer in time, less the cost of distance.
     pub fn score(&self, need: &Need, settings: &PlacingSettings) -> f32 {
         let total = self.expected(need, settings);
-        let in_time = need.aim_left.as_secs_f32() / total;
-        // Work times scatter: at the aim itself a third is in time, at two thirds of it nearly all.
-        let in_time = ((in_time - 0.8) / 0.7).clamp(0.0, 1.0);
+        let in_time = need.in_time(total);
         let at_all = if total < need.time_left.as_secs_f32() {
             settings.late
         } else {
@@ -461,7 +474,8 @@
     need: &Need,
     settings: &PlacingSettings,
 ) -> bool {
-    asked.any(|s| s.score(need, settings) >= settings.good)
+    let good = need.good(settings);
+    asked.any(|s| s.score(need, settings) >= good)
 }
 
 /// Decides what follows from the reports of the servers that were asked.
@@ -474,7 +488,7 @@
     let scored = asked.map(|(i, s)| (s.score(need, settings), i));
     let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
     if let Some((score, i)) = best
-        && score >= settings.good
+        && score >= need.good(settings)
     {
         return Step::Send(i);
     }
--- a/cuminspread/src/protocol/bulletin.rs
+++ b/cuminspread/src/protocol/bulletin.rs
@@ -93,11 +93,13 @@
 }
 
 /// Asks for what is beyond the own extent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Pull {
     /// What the sender has.
     pub have: Extent,
+    /// Data centre of the sender.
+    pub data_centre: Name,
 }
 
 /// Newer part of the registry.
--- /dev/null
+++ b/cuminspread/tests/routing.rs
@@ -0,0 +1,135 @@
+//! Routes by host and longest prefix, and shares of weighted parts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminspread::coordination::shares::Shares;
+use cuminspread::state::Name;
+use cuminspread::state::routing::{Part, Route, RouteTable, Routing};
+use rand_pcg::Pcg32;
+
+fn route(name: &str, host: &str, prefix: &str) -> Arc<Route> {
+    Arc::new(Route {
+        name: Name::new(name),
+        host: Name::new(host),
+        prefix: Name::new(prefix),
+        idempotent: true,
+        timeout: Duration::from_secs(2),
+        aim: Duration::from_millis(500),
+        priority: 0,
+        max_attempts: 2,
+        parts: vec![Part {
+            service: Name::new("status"),
+            weight: 1,
+        }],
+    })
+}
+
+struct Case {
+    host: &'static str,
+    path: &'static str,
+    found: Option<&'static str>,
+}
+
+#[test]
+fn longest_prefix_of_the_host() {
+    let table = RouteTable::new(Arc::new(Routing {
+        version: 1,
+        routes: vec![
+            route("root", "a.example", "/"),
+            route("jobs", "a.example", "/jobs/"),
+            route("old-jobs", "a.example", "/jobs/old/"),
+            route("other", "b.example", "/jobs/"),
+        ],
+        ..Routing::default()
+    }));
+    let cases = [
+        Case {
+            host: "a.example",
+            path: "/jobs/7",
+            found: Some("jobs"),
+        },
+        Case {
+            host: "a.example",
+            path: "/jobs/old/7",
+            found: Some("old-jobs"),
+        },
+        Case {
+            host: "a.example",
+            path: "/jobs/older",
+            found: Some("jobs"),
+        },
+        Case {
+            host: "a.example",
+            path: "/jobs",
+            found: Some("root"),
+        },
+        Case {
+            host: "A.Example:8080",
+            path: "/jobs/",
+            found: Some("jobs"),
+        },
+        Case {
+            host: "b.example",
+            path: "/jobs/7",
+            found: Some("other"),
+        },
+        Case {
+            host: "b.example",
+            path: "/",
+            found: None,
+        },
+        Case {
+            host: "c.example",
+            path: "/jobs/7",
+            found: None,
+        },
+    ];
+    for case in cases {
+        let found = table.find(case.host, case.path).map(|r| r.name.as_str());
+        assert_eq!(found, case.found, "{} {}", case.host, case.path);
+    }
+}
+
+#[test]
+fn shares_follow_the_weights() {
+    struct Case {
+        weights: &'static [u32],
+        /// Requests of each daemon.
+        requests: usize,
+    }
+    // Of 18 daemons each sees few requests, and together they must be within 0.1 of the weights.
+    let cases = [
+        Case {
+            weights: &[90, 10],
+            requests: 17,
+        },
+        Case {
+            weights: &[50, 30, 20],
+            requests: 20,
+        },
+        Case {
+            weights: &[1, 0, 1],
+            requests: 25,
+        },
+    ];
+    for case in cases {
+        let mut counts = vec![0_usize; case.weights.len()];
+        for daemon in 0..18 {
+            let mut rng = Pcg32::new(daemon, 1);
+            let mut shares = Shares::default();
+            for _ in 0..case.requests {
+                let part = shares.next(case.weights, &mut rng).expect("a part");
+                counts[part] += 1;
+            }
+        }
+        let total: u32 = case.weights.iter().sum();
+        for (count, weight) in counts.iter().zip(case.weights) {
+            let share = *count as f64 / (18 * case.requests) as f64;
+            let wanted = f64::from(*weight) / f64::from(total);
+            assert!((share - wanted).abs() < 0.05, "{share} for {wanted}");
+        }
+    }
+    let mut rng = Pcg32::new(1, 1);
+    assert_eq!(Shares::default().next(&[0, 0], &mut rng), None);
+}
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -42,6 +42,10 @@
 const LAST_ANSWER: Duration = Duration::from_millis(30);
 /// Silence, as a multiple of the expected time, after which a request may get a second server.
 const HEDGE_AFTER: f32 = 1.6;
+/// Least such silence: one answer in six takes longer than this.
+const HEDGE_AFTER_LEAST: f32 = 1.35;
+/// Multiple of the usual work time that is kept for the second server.
+const HEDGE_WORK: f32 = 1.2;
 /// Multiple of the usual work time that most work takes at most.
 const AIM_WORK: f32 = 1.3;
 /// Part of the usual work time that must be left for a send to make sense.
@@ -102,6 +106,8 @@
     hedges: u32,
     /// Last server, for the log.
     server: Name,
+    /// It is in the own data centre.
+    near: bool,
     /// Time until the first send.
     waited: Option<Duration>,
     /// Slowness that the last server reported, and the age of that report.
@@ -218,7 +224,9 @@
             }
             Some(()) = hedge_timer, if flights.len() == 1 => {
                 hedge_at = None;
-                if may_repeat(edge, job, trail, true) {
+                // A second send must not take the slot of a request that waits.
+                let crowded = !edge.fleet().queue(&job.service).line.is_empty();
+                if !crowded && may_repeat(edge, job, trail, true) {
                     trail.hedges += 1;
                     placing.set(OptionFuture::from(Some(place(edge, job, trail.tried.clone()))));
                 }
@@ -238,6 +246,7 @@
     fleet.queue(&job.service).line.note_sent(now);
     if let Some(server) = fleet.server(target.key) {
         trail.server = server.entry.id.clone();
+        trail.near = server.standing.near;
         if let Some((at, room)) = server.standing.report() {
             trail.slowness = room.slowness;
             trail.report_age = now.since(at);
@@ -277,8 +286,16 @@
     let need = &flight.target.need;
     let mut fleet = flight.edge.fleet();
     let server = fleet.server(flight.target.key)?;
-    let expected = server.standing.expected_time(need, flight.edge.placing());
-    let patience = expected.mul_f32(HEDGE_AFTER).max(need.work);
+    let expected = server
+        .standing
+        .expected_time(need, flight.edge.placing())
+        .max(need.work);
+    // The second server's answer should still be in time.
+    let latest = need.aim_left.saturating_sub(need.work.mul_f32(HEDGE_WORK));
+    let patience = latest.clamp(
+        expected.mul_f32(HEDGE_AFTER_LEAST),
+        expected.mul_f32(HEDGE_AFTER),
+    );
     Some(flight.edge.instant(need.now + patience))
 }
 
@@ -679,7 +696,7 @@
     };
     log::log!(
         level,
-        "event=request id={} route={} version={} service={} server={} outcome={outcome} status={} \
+        "event=request id={} route={} version={} service={} server={} near={} outcome={outcome} status={} \
          detail={detail} sends={} runs={} hedges={} looks={} waited_us={} took_us={} slowness={:.2} \
          report_age_us={}",
         job.out.id,
@@ -687,6 +704,7 @@
         job.version,
         job.service,
         trail.server,
+        trail.near,
         status.as_u16(),
         trail.sends,
         trail.runs,
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -39,6 +39,10 @@
 const FIRST_SPREAD: Duration = Duration::from_millis(1000);
 /// Bulletins that repeat a change, since datagrams get lost.
 const REPEATS: usize = 3;
+/// Changes in one datagram; each is at most 90 bytes with ids of usual length.
+const CHANGES_PER_PART: usize = 12;
+/// Datagrams for one piece of news; more changes than these hold are pulled.
+const MAX_PARTS: usize = 6;
 /// Pause before a peer that doesn't have the news yet is asked again.
 const PULL_AGAIN: Duration = Duration::from_millis(40);
 /// Times that peers are asked for the same news.
@@ -323,28 +327,20 @@
             Some(changes) => (base, changes),
             None => (extent.revision, Vec::new()),
         };
-        let mut bulletin = Bulletin {
-            reader: k.mesh.me().clone(),
-            age: Duration::ZERO,
-            extent,
-            base,
-            changes,
-            relay: false,
-        };
+        let reader = k.mesh.me().clone();
         drop(k);
-        self.send_bulletin(&near, &mut bulletin);
-        bulletin.relay = true;
-        self.send_bulletin(&relays, &mut bulletin);
+        for mut bulletin in bulletins(&reader, extent, base, changes) {
+            self.send_bulletin(&near, &bulletin);
+            bulletin.relay = true;
+            self.send_bulletin(&relays, &bulletin);
+        }
     }
 
-    fn send_bulletin(&self, to: &[SocketAddr], bulletin: &mut Bulletin) {
+    fn send_bulletin(&self, to: &[SocketAddr], bulletin: &Bulletin) {
+        let notice = Notice::Bulletin(bulletin.clone());
         for peer in to {
-            let whole = Notice::Bulletin(bulletin.clone());
-            if !self.gossip.send(*peer, &whole) && !bulletin.changes.is_empty() {
-                // Too long for a datagram: peers pull the changes.
-                bulletin.base = bulletin.extent.revision;
-                bulletin.changes.clear();
-                self.gossip.send(*peer, &Notice::Bulletin(bulletin.clone()));
+            if !self.gossip.send(*peer, &notice) {
+                log::debug!("event=bulletin_unsent peer={peer}");
             }
         }
     }
@@ -355,7 +351,7 @@
             Notice::Hello(daemon) => {
                 let mut k = self.lock();
                 self.meet(&mut k, now, &daemon);
-                let peers = Notice::Peers(k.mesh.sample(now));
+                let peers = Notice::Peers(k.mesh.sample(now, &daemon.data_centre));
                 drop(k);
                 self.gossip.send(from, &peers);
             }
@@ -363,6 +359,7 @@
                 let mut k = self.lock();
                 let new = k.mesh.named(now, &sightings);
                 let knows_nothing = k.catalog.revision() == 0;
+                let near = k.mesh.near();
                 drop(k);
                 for daemon in &new {
                     note_peer(daemon);
@@ -373,7 +370,8 @@
                         revision: 1,
                         version: 1,
                     };
-                    self.start_pull(vec![from], wanted);
+                    let first = near.first().copied().unwrap_or(from);
+                    self.start_pull(vec![first, from], wanted);
                 }
             }
             Notice::Bulletin(bulletin) => self.take_bulletin(from, bulletin),
@@ -393,7 +391,7 @@
         }
     }
 
-    fn take_bulletin(self: &Arc<Self>, from: SocketAddr, mut bulletin: Bulletin) {
+    fn take_bulletin(self: &Arc<Self>, from: SocketAddr, bulletin: Bulletin) {
         let now = self.edge.now();
         let reader = bulletin.reader.address;
         let mut k = self.lock();
@@ -416,7 +414,7 @@
         }
         let behind = !follows && bulletin.extent.revision > known
             || bulletin.extent.version > self.edge.version();
-        let near = if std::mem::take(&mut bulletin.relay) {
+        let near = if bulletin.relay {
             k.mesh.near()
         } else {
             Vec::new()
@@ -426,7 +424,11 @@
             self.apply(&new, "peer", bulletin.age);
         }
         if !near.is_empty() {
-            self.send_bulletin(&near, &mut bulletin);
+            let own = Bulletin {
+                relay: false,
+                ..bulletin.clone()
+            };
+            self.send_bulletin(&near, &own);
         }
         if behind {
             self.start_pull(vec![from, reader], bulletin.extent);
@@ -447,7 +449,7 @@
                 break;
             }
             let peer = peers[i % peers.len()];
-            match self.gossip.pull(peer, Pull { have }).await {
+            match self.gossip.pull(peer, self.want(have)).await {
                 Ok(supply) => self.take_supply(peer, supply),
                 Err(e) => log::info!("event=pull_failed peer={peer} cause=\"{e}\""),
             }
@@ -459,6 +461,13 @@
         self.pulling.store(false, Ordering::Release);
     }
 
+    fn want(&self, have: Extent) -> Pull {
+        Pull {
+            have,
+            data_centre: self.edge.settings.data_centre.clone(),
+        }
+    }
+
     fn take_supply(&self, peer: SocketAddr, supply: Supply) {
         let now = self.edge.now();
         if let Some(routing) = supply.routing {
@@ -502,7 +511,7 @@
             routing: newer.then(|| Arc::clone(routing)),
             registry,
             revision,
-            peers: k.mesh.sample(now),
+            peers: k.mesh.sample(now, &pull.data_centre),
         }
     }
 }
@@ -531,6 +540,34 @@
     log::info!("event=peer_known peer={address} data_centre={place}");
 }
 
+/// Splits news into parts that fit datagrams; of too many changes none is sent, and peers pull them.
+fn bulletins(reader: &Daemon, extent: Extent, base: u64, changes: Vec<Dated>) -> Vec<Bulletin> {
+    let whole = |base, changes| Bulletin {
+        reader: reader.clone(),
+        age: Duration::ZERO,
+        extent,
+        base,
+        changes,
+        relay: false,
+    };
+    if changes.len() > CHANGES_PER_PART * MAX_PARTS {
+        return vec![whole(extent.revision, Vec::new())];
+    }
+    let mut parts = Vec::new();
+    let mut base = base;
+    let mut rest = changes.as_slice();
+    while rest.len() > CHANGES_PER_PART {
+        let (part, later) = rest.split_at(CHANGES_PER_PART);
+        let last = part.last().map_or(base, |d| d.revision);
+        let mut bulletin = whole(base, part.to_vec());
+        bulletin.extent.revision = last;
+        parts.push(bulletin);
+        (base, rest) = (last, later);
+    }
+    parts.push(whole(base, rest.to_vec()));
+    parts
+}
+
 /// Rank among readers: the lower one goes on.
 fn rank(address: SocketAddr) -> u64 {
     match address {
