Changes of the configuration travel, not whole ones; outages cost the same in any fleet

Ruled out: loss of bulletins (the news was known everywhere within 0.1 s, the pulls timed out). Change: small changes are part of the news, larger ones are pulled as changes, mostly from near peers. Tries of an outage are shared by the fleet.

--- a/cuminspread/src/coordination/catalog.rs
+++ b/cuminspread/src/coordination/catalog.rs
@@ -7,7 +7,7 @@
 //! Load pattern: a registry that was away for some seconds has dropped entries of servers that live.
 //! Such lapsed entries stay in use for [`LAPSE_GRACE`], in which living servers register again.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -177,12 +177,12 @@
         if at < self.revision {
             return Vec::new();
         }
-        let listed = |id: &Name| copy.iter().any(|(_, e)| e.id == *id);
+        let listed: HashSet<&Name> = copy.iter().map(|(_, e)| &e.id).collect();
         let missing: Vec<Name> = self
             .servers
             .iter()
             .filter(|(id, k)| {
-                k.revision <= at && matches!(k.presence, Presence::Present) && !listed(id)
+                k.revision <= at && matches!(k.presence, Presence::Present) && !listed.contains(id)
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -29,6 +29,10 @@
     pub retry: Duration,
     /// Longest pause after failed reads.
     pub max_retry: Duration,
+    /// First pause of a daemon that isn't the reader, for each daemon of the fleet.
+    pub shared_retry: Duration,
+    /// Longest such pause for each daemon: the fleet makes about this many calls in an outage.
+    pub shared_max_retry: Duration,
     /// Longest time for a first read; it doubles with each failure.
     pub timeout: Duration,
     /// Longest time for a read.
@@ -45,6 +49,8 @@
             stagger: Duration::from_millis(400),
             retry: Duration::from_millis(100),
             max_retry: Duration::from_millis(1600),
+            shared_retry: Duration::from_millis(20),
+            shared_max_retry: Duration::from_millis(100),
             timeout: Duration::from_millis(400),
             max_timeout: Duration::from_millis(1600),
             outage: Duration::from_millis(2500),
@@ -72,6 +78,8 @@
     next: Mono,
     failures: u32,
     reading: bool,
+    /// Daemons that may read.
+    fleet: u32,
     /// A daemon of lower rank was heard while this one was reading.
     yields: bool,
 }
@@ -88,10 +96,16 @@
             next: Mono::default() + delay,
             failures: 0,
             reading: false,
+            fleet: 1,
             yields: false,
         }
     }
 
+    /// Takes the number of daemons that may read, this one included.
+    pub fn set_fleet(&mut self, daemons: usize) {
+        self.fleet = daemons.max(1) as u32;
+    }
+
     /// Present role.
     pub fn role(&self) -> Role {
         self.role
@@ -143,11 +157,24 @@
     }
 
     /// A read that was begun has failed.
+    ///
+    /// The reader tries again soon. Others share the tries, so that an outage costs the same number
+    /// of calls in a fleet of any size.
     pub fn failed(&mut self, now: Mono) {
         self.reading = false;
-        let pause = self.settings.retry * (1 << self.failures.min(6));
+        let settings = &self.settings;
+        let (first, most) = match self.role {
+            Role::Reader => (settings.retry, settings.max_retry),
+            Role::Follower => (
+                settings.retry.max(settings.shared_retry * self.fleet),
+                settings
+                    .max_retry
+                    .max(settings.shared_max_retry * self.fleet),
+            ),
+        };
+        let pause = first * (1 << self.failures.min(6));
         self.failures += 1;
-        let pause = pause.min(self.settings.max_retry);
+        let pause = pause.min(most);
         self.next = now + pause + self.jitter(pause);
         if self.failures > 1 {
             self.role = Role::Follower;
--- a/cuminspread/src/protocol/bulletin.rs
+++ b/cuminspread/src/protocol/bulletin.rs
@@ -11,7 +11,7 @@
 
 use crate::coordination::catalog::{Dated, Entry};
 use crate::state::Name;
-use crate::state::routing::Routing;
+use crate::state::routing::{Routing, RoutingDelta};
 
 /// Longest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_DATAGRAM: usize = 1200;
@@ -62,6 +62,8 @@
     pub base: u64,
     /// Changes of the registry.
     pub changes: Vec<Dated>,
+    /// What the newest version changes in the one before, if that fits a datagram.
+    pub routing: Option<RoutingDelta>,
     /// The receiver passes it on to the peers of its data centre.
     pub relay: bool,
 }
@@ -102,6 +104,16 @@
     pub data_centre: Name,
 }
 
+/// Newer configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum NewRouting {
+    /// All of it.
+    Whole(Arc<Routing>),
+    /// What it changes in the puller's.
+    Delta(RoutingDelta),
+}
+
 /// Newer part of the registry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -117,7 +129,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct Supply {
     /// Newer configuration.
-    pub routing: Option<Arc<Routing>>,
+    pub routing: Option<NewRouting>,
     /// What is newer of the registry.
     pub registry: Option<Registry>,
     /// Revision that the puller has then.
--- a/cuminspread/src/state/routing.rs
+++ b/cuminspread/src/state/routing.rs
@@ -4,7 +4,7 @@
 //! of the path. Prefixes begin and end with a slash, so a lookup tries the path's own prefixes from
 //! the longest to the shortest, whatever the number of routes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -97,6 +97,61 @@
     pub limits: CallerLimits,
 }
 
+/// What a version changes in an earlier one; it applies to that one only.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RoutingDelta {
+    /// Earlier version.
+    pub base: u64,
+    /// Version.
+    pub version: u64,
+    /// Routes that are new or changed.
+    pub put: Vec<Arc<Route>>,
+    /// Names of routes that are no longer there.
+    pub dropped: Vec<Name>,
+    /// Services, if any of them changed.
+    pub services: Option<Vec<ServiceSpec>>,
+    /// Bounds on callers, if they changed.
+    pub limits: Option<CallerLimits>,
+}
+
+impl Routing {
+    /// What this version changes in an earlier one.
+    pub fn delta_from(&self, base: &Self) -> RoutingDelta {
+        let before: HashMap<&Name, &Arc<Route>> =
+            base.routes.iter().map(|r| (&r.name, r)).collect();
+        let now: HashSet<&Name> = self.routes.iter().map(|r| &r.name).collect();
+        let same = |r: &&Arc<Route>| before.get(&r.name).is_some_and(|b| *b == *r);
+        let put = self.routes.iter().filter(|r| !same(r));
+        let dropped = base.routes.iter().map(|r| &r.name);
+        let dropped = dropped.filter(|name| !now.contains(name));
+        RoutingDelta {
+            base: base.version,
+            version: self.version,
+            put: put.cloned().collect(),
+            dropped: dropped.cloned().collect(),
+            services: (self.services != base.services).then(|| self.services.clone()),
+            limits: (self.limits != base.limits).then(|| self.limits.clone()),
+        }
+    }
+
+    /// The version that a delta leads to; `None` if it applies to another version.
+    pub fn with(&self, delta: RoutingDelta) -> Option<Self> {
+        if delta.base != self.version {
+            return None;
+        }
+        let replaced = delta.put.iter().map(|r| &r.name);
+        let gone: HashSet<&Name> = replaced.chain(&delta.dropped).collect();
+        let kept = self.routes.iter().filter(|r| !gone.contains(&r.name));
+        Some(Self {
+            version: delta.version,
+            routes: kept.chain(&delta.put).cloned().collect(),
+            services: delta.services.unwrap_or_else(|| self.services.clone()),
+            limits: delta.limits.unwrap_or_else(|| self.limits.clone()),
+        })
+    }
+}
+
 /// A configuration with its routes indexed.
 #[derive(Debug, Default)]
 pub struct RouteTable {
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -4,6 +4,7 @@
 //! follows from them is decided by the library's [`Reader`], [`Mesh`] and [`Catalog`], which one
 //! mutex guards; it is never held across an await.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -13,8 +14,10 @@
 use cuminspread::coordination::catalog::{Catalog, Change, Dated};
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{Reader, Role};
-use cuminspread::protocol::bulletin::{Bulletin, Daemon, Extent, Notice, Pull, Registry, Supply};
-use cuminspread::state::routing::Routing;
+use cuminspread::protocol::bulletin::{
+    Bulletin, Daemon, Extent, NewRouting, Notice, Pull, Registry, Supply,
+};
+use cuminspread::state::routing::{Routing, RoutingDelta};
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip::Gossip;
 use cuminspread_platform::store::{ReadError, Reading, Servers, Store};
@@ -39,6 +42,12 @@
 const FIRST_SPREAD: Duration = Duration::from_millis(1000);
 /// Bulletins that repeat a change, since datagrams get lost.
 const REPEATS: usize = 3;
+/// Lines for the servers of one piece of news; more are told by their number.
+const MAX_LINES: usize = 24;
+/// Largest change of the configuration that goes into a datagram, in bytes.
+const MAX_DELTA: usize = 700;
+/// Peers of a data centre that pull from the sender of the news; others ask each other.
+const FIRST_PULLS: f64 = 6.0;
 /// Changes in one datagram; each is at most 90 bytes with ids of usual length.
 const CHANGES_PER_PART: usize = 12;
 /// Datagrams for one piece of news; more changes than these hold are pulled.
@@ -46,7 +55,7 @@
 /// Pause before a peer that doesn't have the news yet is asked again.
 const PULL_AGAIN: Duration = Duration::from_millis(40);
 /// Times that peers are asked for the same news.
-const PULL_TRIES: usize = 6;
+const PULL_TRIES: usize = 16;
 /// Time after the store's return in which missing entries may be back, with some slack.
 const RETURN_TIME: Duration = Duration::from_millis(2500);
 /// Longest pause of a listener after a failed accept.
@@ -59,6 +68,9 @@
     mesh: Mesh,
     /// Revisions of the last bulletins, newest last.
     published: Vec<u64>,
+    /// Version of the last bulletin, and the one that bulletins named before.
+    published_version: u64,
+    version_before: u64,
     /// Until then, missing entries may have lapsed while the store was away.
     lapse_until: Mono,
     tick_due: Mono,
@@ -110,6 +122,8 @@
             ),
             mesh: Mesh::new(platform.mesh.clone(), me, platform.seeds.clone(), seed),
             published: Vec::new(),
+            published_version: 0,
+            version_before: 0,
             lapse_until: Mono::default(),
             tick_due: edge.now(),
         };
@@ -195,6 +209,7 @@
         }
         let gone = k.catalog.sweep(now);
         let daemons = k.mesh.size();
+        k.reader.set_fleet(daemons);
         if let Some(limit) = k.reader.begin(now) {
             let after = k.catalog.revision();
             tokio::spawn(Arc::clone(self).read(after, limit));
@@ -279,7 +294,11 @@
     fn apply(&self, changes: &[Dated], source: &str, age: Duration) {
         self.edge.set_registry_known();
         let age = age.as_millis();
-        for dated in changes {
+        if changes.len() > MAX_LINES {
+            let count = changes.len();
+            log::info!("event=servers_changed count={count} source={source} age_ms={age}");
+        }
+        for dated in changes.iter().take(MAX_LINES) {
             let revision = dated.revision;
             match &dated.change {
                 Change::Reported(entry) => {
@@ -302,13 +321,20 @@
         // The catalog decides which reports hold, so its entries are taken, not the reports.
         let k = self.lock();
         let mut fleet = self.edge.fleet();
+        let mut services = BTreeSet::new();
         for dated in changes {
             let id = dated.change.id();
             match k.catalog.entry(id) {
-                Some(entry) => fleet.put(&self.edge, entry),
+                Some(entry) => {
+                    services.insert(entry.service.clone());
+                    fleet.put(&self.edge, entry);
+                }
                 None => fleet.remove(id),
             }
         }
+        for service in services {
+            fleet.choose_own(&service, self.edge.placing().subset);
+        }
     }
 
     /// Hands on what this daemon has just read.
@@ -328,8 +354,31 @@
             None => (extent.revision, Vec::new()),
         };
         let reader = k.mesh.me().clone();
+        if k.published_version != extent.version {
+            k.version_before = std::mem::replace(&mut k.published_version, extent.version);
+        }
+        let delta = self.edge.delta_from(k.version_before);
         drop(k);
-        for mut bulletin in bulletins(&reader, extent, base, changes) {
+        let fits = |d: &RoutingDelta| postcard::to_stdvec(d).is_ok_and(|b| b.len() <= MAX_DELTA);
+        let delta = delta.filter(fits);
+        let mut parts = bulletins(&reader, extent, base, changes);
+        if let Some(delta) = delta {
+            // In a datagram of its own, which makes no one pull what the others bring.
+            let mut first = parts.remove(0);
+            let only = Bulletin {
+                changes: Vec::new(),
+                extent: Extent {
+                    revision: first.base,
+                    ..extent
+                },
+                routing: Some(delta),
+                ..first.clone()
+            };
+            first.routing = None;
+            parts.insert(0, first);
+            parts.insert(0, only);
+        }
+        for mut bulletin in parts {
             self.send_bulletin(&near, &bulletin);
             bulletin.relay = true;
             self.send_bulletin(&relays, &bulletin);
@@ -412,6 +461,9 @@
             }
             k.catalog.complete(bulletin.extent.revision);
         }
+        if let Some(delta) = bulletin.routing.clone() {
+            self.edge.put_delta_in_force(delta, "peer");
+        }
         let behind = !follows && bulletin.extent.revision > known
             || bulletin.extent.version > self.edge.version();
         let near = if bulletin.relay {
@@ -441,14 +493,24 @@
         }
     }
 
-    /// Asks peers in turn until this daemon knows as much as they said.
-    async fn pull(self: Arc<Self>, peers: Vec<SocketAddr>, wanted: Extent) {
+    /// Asks peers until this daemon knows as much as they said.
+    ///
+    /// Only some ask the one that told the news, which could not serve a whole data centre at once;
+    /// the others ask near peers, which have the news soon.
+    async fn pull(self: Arc<Self>, told_by: Vec<SocketAddr>, wanted: Extent) {
         for i in 0..PULL_TRIES {
             let have = self.extent(&self.lock());
             if have.revision >= wanted.revision && have.version >= wanted.version {
                 break;
             }
-            let peer = peers[i % peers.len()];
+            let near = self.lock().mesh.near();
+            let seed = self.edge.now().0 ^ rank(told_by[0]);
+            let from_teller = unit(seed) * near.len() as f64 <= FIRST_PULLS;
+            let peer = if from_teller || near.is_empty() || i + 1 == PULL_TRIES {
+                told_by[i % told_by.len()]
+            } else {
+                near[(unit(seed + 1) * near.len() as f64) as usize]
+            };
             match self.gossip.pull(peer, self.want(have)).await {
                 Ok(supply) => self.take_supply(peer, supply),
                 Err(e) => log::info!("event=pull_failed peer={peer} cause=\"{e}\""),
@@ -470,8 +532,14 @@
 
     fn take_supply(&self, peer: SocketAddr, supply: Supply) {
         let now = self.edge.now();
-        if let Some(routing) = supply.routing {
-            self.edge.put_in_force(routing, "peer");
+        match supply.routing {
+            Some(NewRouting::Whole(routing)) => {
+                self.edge.put_in_force(routing, "peer");
+            }
+            Some(NewRouting::Delta(delta)) => {
+                self.edge.put_delta_in_force(delta, "peer");
+            }
+            None => {}
         }
         let mut k = self.lock();
         k.mesh.named(now, &supply.peers);
@@ -508,7 +576,11 @@
             changes.map_or_else(copy, Registry::Changes)
         });
         Supply {
-            routing: newer.then(|| Arc::clone(routing)),
+            routing: newer.then(|| {
+                let delta = self.edge.delta_from(pull.have.version);
+                let whole = || NewRouting::Whole(Arc::clone(routing));
+                delta.map_or_else(whole, NewRouting::Delta)
+            }),
             registry,
             revision,
             peers: k.mesh.sample(now, &pull.data_centre),
@@ -548,6 +620,7 @@
         extent,
         base,
         changes,
+        routing: None,
         relay: false,
     };
     if changes.len() > CHANGES_PER_PART * MAX_PARTS {
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -21,7 +21,7 @@
 /// sends connections elsewhere.
 const STILL_OPEN: Duration = Duration::from_millis(2800);
 /// Time before the end of the grace in which the process must have ended.
-const END_MARGIN: Duration = Duration::from_millis(350);
+const END_MARGIN: Duration = Duration::from_millis(600);
 /// Time between two looks at the requests in flight during a stop.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Time between two sweeps of idle connections to servers.
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,6 +1,6 @@
 //! What the parts of one daemon share: routes in force, servers, and counts.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher as _, DefaultHasher, Hash as _, Hasher as _, RandomState};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -13,7 +13,7 @@
 use cuminspread::coordination::shares::Shares;
 use cuminspread::coordination::waiting::{Claim, Line, Ticket};
 use cuminspread::state::Name;
-use cuminspread::state::routing::{Route, RouteTable, Routing};
+use cuminspread::state::routing::{Route, RouteTable, Routing, RoutingDelta};
 use cuminspread::state::time::Mono;
 use cuminspread::transport::clock::SystemClock;
 use cuminspread::transport::upstream::{Upstream, UpstreamSettings};
@@ -40,6 +40,9 @@
 /// Time in which unused questions are saved, in seconds.
 const LOOKS_BURST_S: f32 = 3.0;
 
+/// Earlier versions of the configuration kept, to tell peers only what changed.
+const EARLIER: usize = 8;
+
 /// Key of a server within one daemon; never used again.
 pub type ServerKey = usize;
 
@@ -135,6 +138,8 @@
     clock: SystemClock,
     started: Instant,
     table: RwLock<Arc<RouteTable>>,
+    /// Versions before the one in force, newest last.
+    earlier: Mutex<VecDeque<Arc<Routing>>>,
     fleet: Mutex<Fleet>,
     stopping: AtomicBool,
     registry_known: AtomicBool,
@@ -168,6 +173,7 @@
             clock,
             started: Instant::now(),
             table: RwLock::default(),
+            earlier: Mutex::default(),
             fleet: Mutex::new(Fleet::new(seed)),
             stopping: AtomicBool::new(false),
             registry_known: AtomicBool::new(false),
@@ -208,6 +214,11 @@
         let table = Arc::new(RouteTable::new(routing));
         {
             let mut held = self.table.write().unwrap_or_else(PoisonError::into_inner);
+            let mut earlier = self.earlier.lock().unwrap_or_else(PoisonError::into_inner);
+            earlier.push_back(Arc::clone(held.routing()));
+            if earlier.len() > EARLIER {
+                earlier.pop_front();
+            }
             *held = Arc::clone(&table);
         }
         self.fleet().keep_routes(&table);
@@ -217,6 +228,19 @@
         true
     }
 
+    /// What the version in force changes in an earlier one, if that is remembered.
+    pub fn delta_from(&self, version: u64) -> Option<RoutingDelta> {
+        let earlier = self.earlier.lock().unwrap_or_else(PoisonError::into_inner);
+        let base = earlier.iter().find(|r| r.version == version)?;
+        Some(self.table().routing().delta_from(base))
+    }
+
+    /// Puts a version in force that is given by what it changes in the present one.
+    pub fn put_delta_in_force(&self, delta: RoutingDelta, source: &str) -> bool {
+        let next = self.table().routing().with(delta);
+        next.is_some_and(|next| self.put_in_force(Arc::new(next), source))
+    }
+
     /// Servers and what is known of them.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
@@ -294,7 +318,6 @@
                 && known.entry.service == entry.service;
             if same {
                 known.entry = entry.clone();
-                self.choose_own(&entry.service, edge.placing().subset);
                 return;
             }
             self.remove(&entry.id);
@@ -323,7 +346,6 @@
         self.keys.insert(entry.id.clone(), key);
         let service = self.by_service.entry(entry.service.clone()).or_default();
         service.push(key);
-        self.choose_own(&entry.service, edge.placing().subset);
     }
 
     /// Drops a server that is gone; requests that it has go on.
@@ -355,7 +377,7 @@
     /// Chooses the near servers of a service that this daemon asks first.
     ///
     /// Rendezvous hashing moves few of them when servers come and go, and spreads the daemons.
-    fn choose_own(&mut self, service: &Name, subset: usize) {
+    pub fn choose_own(&mut self, service: &Name, subset: usize) {
         let keys = self.by_service.get(service).cloned().unwrap_or_default();
         let mut ranked: Vec<(u64, ServerKey)> = Vec::new();
         for key in keys {
