After a restart a daemon reads a part of the store itself

Cause: after a loss of power of all VMs the seeds start up to 0.45 s later than the others, which waited for them and refused callers. Ruled out: the daemon's own start (2 ms; a stripped binary of a seventh of the size starts no sooner). Change: unless the whole system starts for the first time, a daemon that no peer answers within 40 ms reads the first page of the store, or one page of servers at random if there are more.

--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -38,7 +38,12 @@
 /// Time that a daemon that isn't a seed waits for peers before it reads the store itself: seeds may
 /// start 0.3 s later, and then need some calls.
 const FIRST_WAIT: Duration = Duration::from_millis(500);
-/// Random time added to that, so that not all read if no seed is there.
+/// Time after a restart in which a peer may hand over what it knows, before a daemon reads a part of
+/// the store itself.
+const GLIMPSE_WAIT: Duration = Duration::from_millis(40);
+/// Longest time for each call of that read.
+const GLIMPSE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Random time added to the first wait, so that not all read if no seed is there.
 const FIRST_SPREAD: Duration = Duration::from_millis(1000);
 /// Bulletins that repeat a change, since datagrams get lost.
 const REPEATS: usize = 3;
@@ -58,6 +63,8 @@
 const PULL_TRIES: usize = 16;
 /// Time after the store's return in which missing entries may be back, with some slack.
 const RETURN_TIME: Duration = Duration::from_millis(2500);
+/// Odd number that spreads the bits of a product.
+const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Longest pause of a listener after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -106,7 +113,7 @@
             started: edge.started_ms,
         };
         let is_seed = platform.seeds.contains(&address);
-        let first = if is_seed || platform.seeds.is_empty() {
+        let first = if is_seed && platform.first_start || platform.seeds.is_empty() {
             Duration::ZERO
         } else {
             FIRST_WAIT + FIRST_SPREAD.mul_f64(unit(edge.started_ms ^ rank(address)))
@@ -139,6 +146,9 @@
 
     /// Starts the tasks.
     pub fn start(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
+        if !self.edge.platform.first_start {
+            tokio::spawn(Arc::clone(self).glimpse());
+        }
         vec![
             tokio::spawn(receive(Arc::clone(self))),
             tokio::spawn(accept(Arc::clone(self))),
@@ -228,6 +238,25 @@
         next
     }
 
+    /// After a restart, reads enough of the store to serve, unless a peer answers first.
+    ///
+    /// Seeds may start later than others, and callers are already there.
+    async fn glimpse(self: Arc<Self>) {
+        sleep(GLIMPSE_WAIT).await;
+        if self.lock().catalog.revision() > 0 {
+            return;
+        }
+        let salt = rank(self.lock().mesh.me().address).wrapping_mul(GOLDEN) ^ self.edge.started_ms;
+        let salt = salt.wrapping_mul(GOLDEN);
+        match self.store.glimpse(salt, GLIMPSE_TIMEOUT).await {
+            Ok(reading) => self.take_reading(reading),
+            Err(e) => {
+                self.edge.metrics.count_read("failed");
+                log::info!("event=glimpse_failed cause=\"{e}\"");
+            }
+        }
+    }
+
     async fn read(self: Arc<Self>, after: u64, limit: Duration) {
         let mut result = if after == 0 {
             self.store.copy(limit).await
@@ -272,12 +301,22 @@
         if k.reader.is_outage(now) {
             k.lapse_until = now + RETURN_TIME;
         }
-        if k.reader.role() == Role::Follower {
+        if k.reader.role() == Role::Follower && reading.at > 0 {
             log::info!("event=reads_store revision={}", reading.at);
         }
-        k.reader.succeeded(now);
+        let partial = matches!(reading.servers, Servers::Some(_));
+        if !partial {
+            k.reader.succeeded(now);
+        }
         let lapsed = now < k.lapse_until;
         let new = match reading.servers {
+            Servers::Some(some) => {
+                let reported = some.into_iter().map(|(revision, entry)| Dated {
+                    revision,
+                    change: Change::Reported(entry),
+                });
+                take_changes(&mut k.catalog, now, reported.collect(), lapsed)
+            }
             Servers::Copy(copy) => k.catalog.reconcile(now, reading.at, copy, lapsed),
             Servers::Changes(changes) => take_changes(&mut k.catalog, now, changes, lapsed),
         };
@@ -287,7 +326,9 @@
             self.edge.put_in_force(routing, "store");
         }
         self.apply(&new, "store", Duration::ZERO);
-        self.publish();
+        if !partial {
+            self.publish();
+        }
     }
 
     /// Brings servers up to date with changes of the catalog.
--- a/cuminspreadd/src/edge/settings.rs
+++ b/cuminspreadd/src/edge/settings.rs
@@ -16,6 +16,8 @@
     pub readiness: SocketAddr,
     /// Daemons that are known from the start; their port is the own peer port.
     pub seeds: Vec<SocketAddr>,
+    /// The whole system starts for the first time, before any traffic.
+    pub first_start: bool,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
     /// Repeated sends a service gets over the whole fleet, as a part of its requests.
@@ -39,6 +41,7 @@
             store: any,
             readiness: any,
             seeds: Vec::new(),
+            first_start: false,
             grace: Duration::from_secs(6),
             retry_ratio: 0.2,
             retry_slack: 64.0,
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -7,7 +7,7 @@
 //! | `platform` | `url` |
 //! | `store` | `address` |
 //! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
-//! | `peers` | `key`, `previous_key`, `lease_ms`, `renew_ms`, `skew_ms`, `seeds` |
+//! | `peers` | `key`, `previous_key`, `lease_ms`, `renew_ms`, `skew_ms`, `seeds`, `first_start` |
 //! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
 //! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `max_stored` |
 //! | `traces` | `otlp`, `file` |
@@ -177,6 +177,7 @@
             ("listen", "readiness") => edge(s).readiness = address(value)?,
             ("store", "address") => edge(s).store = address(value)?,
             ("peers", "seeds") => edge(s).seeds = addresses(value)?,
+            ("peers", "first_start") => edge(s).first_start = flag(value)?,
             ("bounds", "grace_s") => edge(s).grace = seconds(value)?,
             ("bounds", "retry_ratio") => edge(s).retry_ratio = fraction(value)?,
             ("bounds", "retry_slack") => {
@@ -296,7 +297,7 @@
         "store" => "address",
         "bounds" => "grace_s, retry_ratio, retry_slack, looks_per_s",
         "platform" => "url",
-        "peers" => "key, previous_key, lease_ms, renew_ms, skew_ms, seeds",
+        "peers" => "key, previous_key, lease_ms, renew_ms, skew_ms, seeds, first_start",
         "callers" => {
             "head_timeout_ms, body_timeout_ms, max_head, max_headers, max_connections, max_buffered"
         }
@@ -358,6 +359,11 @@
     parsed.ok_or_else(|| format!("{value:?} isn't allowed; write a number from 0 to 1"))
 }
 
+fn flag(value: &str) -> Result<bool, String> {
+    let parsed = value.parse().ok();
+    parsed.ok_or_else(|| format!("{value:?} isn't allowed; write true or false"))
+}
+
 fn edge(settings: &mut Settings) -> &mut EdgeSettings {
     settings.edge.get_or_insert_default()
 }
