Whole daemons against stand-ins of the store and of servers; dead services are told at once

Found by the new tests: a service whose servers are all dead kept callers for 1.9 s; a hanging server with a good health check was chosen again and again, since its time still fitted the aim; a server whose address another one took was asked on; all daemons pulled a large configuration from one VM. Change: avoided servers count as absent; a server that another one has outrun is slow for a while, and of servers in time the faster goes first; large VMs read and hand on, a pull that meets a busy peer asks another one, and the extent of news is told twice.

--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -200,21 +200,44 @@
         peers.map(|p| p.daemon.address).collect()
     }
 
-    /// Peers in other data centres that pass news on, a few of each, others each time.
+    /// Peer of the own data centre to ask for news: mostly one of the largest, otherwise any.
+    pub fn helper(&mut self) -> Option<SocketAddr> {
+        let near = &self.me.data_centre;
+        let peers = self.peers.values();
+        let near = peers.filter(|p| p.daemon.data_centre == *near);
+        let mut near: Vec<&Daemon> = near.map(|p| &p.daemon).collect();
+        near.sort_by_key(|d| d.rank());
+        let largest = near.first()?.capacity;
+        let large = near.iter().filter(|d| d.capacity == largest).count();
+        let among = if self.rng.random_range(0..3) > 0 {
+            large
+        } else {
+            near.len()
+        };
+        Some(near[self.rng.random_range(0..among)].address)
+    }
+
+    /// Peers in other data centres that pass news on, a few of each, others each time; one of each
+    /// is among the largest.
     pub fn relays(&mut self) -> Vec<SocketAddr> {
-        let mut by_place: BTreeMap<Name, Vec<SocketAddr>> = BTreeMap::new();
+        let mut by_place: BTreeMap<Name, Vec<&Daemon>> = BTreeMap::new();
         for peer in self.peers.values() {
             let place = &peer.daemon.data_centre;
             if *place != self.me.data_centre {
                 let peers = by_place.entry(place.clone()).or_default();
-                peers.push(peer.daemon.address);
+                peers.push(&peer.daemon);
             }
         }
         let mut out = Vec::new();
         for mut peers in by_place.into_values() {
-            for _ in 0..self.settings.relays.min(peers.len()) {
+            peers.sort_by_key(|d| d.rank());
+            let largest = peers.first().map(|d| d.capacity);
+            let large = peers.iter().filter(|d| Some(d.capacity) == largest).count();
+            let i = self.rng.random_range(0..large);
+            out.push(peers.swap_remove(i).address);
+            for _ in 1..self.settings.relays.min(peers.len() + 1) {
                 let i = self.rng.random_range(0..peers.len());
-                out.push(peers.swap_remove(i));
+                out.push(peers.swap_remove(i).address);
             }
         }
         out
--- a/cuminspread/src/coordination/placing.rs
+++ b/cuminspread/src/coordination/placing.rs
@@ -26,6 +26,10 @@
     pub next_look: usize,
     /// Part of the best score in reach from which a server is taken without asking more.
     pub good: f32,
+    /// Part of the best score in reach from which other answers aren't waited for.
+    pub best: f32,
+    /// What an answer at the aim itself loses against one at once.
+    pub haste: f32,
     /// Chance that a server without a fresh report is as fast as usual.
     pub trust: f32,
     /// Score that a server of this daemon's own subset gets beyond others in a shortlist.
@@ -48,6 +52,8 @@
     pub avoid: Duration,
     /// Longest time for which a server is avoided.
     pub max_avoid: Duration,
+    /// Least factor on the time of a server that a second one has outrun.
+    pub outrun: f32,
     /// Factor on the work of a server that has just started.
     pub cold: f32,
     /// Value of a late answer against one in time.
@@ -60,6 +66,8 @@
             first_look: 2,
             next_look: 3,
             good: 0.75,
+            best: 0.93,
+            haste: 0.08,
             trust: 0.6,
             own: 0.5,
             subset: 8,
@@ -71,6 +79,7 @@
             half_life: Duration::from_secs(2),
             avoid: Duration::from_millis(250),
             max_avoid: Duration::from_secs(2),
+            outrun: 3.0,
             cold: 2.0,
             late: 0.1,
         }
@@ -335,6 +344,13 @@
                 self.note_failure(now, settings);
                 None
             }
+            End::Outrun => {
+                // It may be slow or dead; servers that are neither go first for a while.
+                let ratio = took.as_secs_f32() / flight.expected.as_secs_f32().max(0.001);
+                let ratio = ratio.clamp(settings.outrun, 10.0);
+                self.lag.note(now, half_life, ratio, 0.5);
+                None
+            }
             End::Dropped => {
                 let ratio = took.as_secs_f32() / flight.expected.as_secs_f32().max(0.001);
                 if flight.direct && ratio > 1.0 {
@@ -374,7 +390,10 @@
             settings.far_cost * in_time.max(0.2)
         };
         let crowd = 0.1 * self.crowd(need.now, settings);
-        (at_all + (1.0 - settings.late) * in_time) * sound - distance - crowd
+        // Of servers that are all in time the faster one goes first.
+        let slow = total / need.aim_left.as_secs_f32().max(0.001);
+        let slow = settings.haste * slow.min(1.0) * in_time.max(settings.late);
+        (at_all + (1.0 - settings.late) * in_time) * sound - distance - crowd - slow
     }
 
     /// Time until an answer.
@@ -443,6 +462,8 @@
     Refused,
     /// Without an answer.
     Silent,
+    /// Another server answered the same request first.
+    Outrun,
     /// The daemon gave it up for a reason that isn't the server's.
     Dropped,
 }
@@ -468,14 +489,14 @@
     scored.into_iter().take(count).map(|(_, i)| i).collect()
 }
 
-/// Whether one of the servers that were asked is good enough.
-pub fn is_served<'a>(
+/// Whether no answer that is still out can be much better than those that came.
+pub fn is_settled<'a>(
     mut asked: impl Iterator<Item = &'a Standing>,
     need: &Need,
     settings: &PlacingSettings,
 ) -> bool {
-    let good = need.good(settings);
-    asked.any(|s| s.score(need, settings) >= good)
+    let best = need.good(settings) / settings.good;
+    asked.any(|s| s.score(need, settings) >= settings.best * best)
 }
 
 /// Decides what follows from the reports of the servers that were asked.
--- a/cuminspread/src/protocol/bulletin.rs
+++ b/cuminspread/src/protocol/bulletin.rs
@@ -26,6 +26,19 @@
     pub data_centre: Name,
     /// Its start, in milliseconds since the Unix epoch.
     pub started: u64,
+    /// Size of its VM against others, in any unit: larger ones read and hand on for smaller ones.
+    pub capacity: u16,
+}
+
+impl Daemon {
+    /// Rank among readers: of two the lower one goes on.
+    pub fn rank(&self) -> u64 {
+        let (ip, port) = match self.address {
+            SocketAddr::V4(v4) => (v4.ip().to_bits(), v4.port()),
+            SocketAddr::V6(v6) => (v6.ip().to_bits() as u32, v6.port()),
+        };
+        u64::from(!self.capacity) << 48 | u64::from(ip) << 16 | u64::from(port)
+    }
 }
 
 /// A daemon, and when it was last there.
@@ -87,7 +100,7 @@
     /// Some peers that the sender knows, itself first.
     Peers(Vec<Sighting>),
     /// News.
-    Bulletin(Bulletin),
+    Bulletin(Box<Bulletin>),
     /// The sender stops.
     Leaving(Daemon),
     /// Requests that crashed servers.
@@ -134,6 +147,8 @@
     pub registry: Option<Registry>,
     /// Revision that the puller has then.
     pub revision: u64,
+    /// The peer serves too many pulls now; another one may have the news too.
+    pub busy: bool,
     /// Some peers.
     pub peers: Vec<Sighting>,
 }
--- a/cuminspread/tests/catalog.rs
+++ b/cuminspread/tests/catalog.rs
@@ -85,8 +85,8 @@
     end: Seen,
 }
 
-#[test]
-fn facts_from_several_sources() {
+#[allow(clippy::too_many_lines, reason = "a table of cases")]
+fn cases() -> Vec<Case> {
     let leaving = Report {
         revision: 12,
         sequence: 6,
@@ -94,7 +94,7 @@
         ..FIRST
     };
     let ready = Seen::Ready { port: 80 };
-    let cases = [
+    vec![
         Case {
             what: "a report is taken",
             facts: vec![reported(FIRST)],
@@ -203,8 +203,12 @@
             facts: vec![removed(12, false)],
             end: Seen::Gone,
         },
-    ];
-    for case in cases {
+    ]
+}
+
+#[test]
+fn facts_from_several_sources() {
+    for case in cases() {
         let mut catalog = Catalog::default();
         for fact in case.facts {
             catalog.apply(at(0), fact);
--- a/cuminspread/tests/mesh.rs
+++ b/cuminspread/tests/mesh.rs
@@ -20,6 +20,8 @@
         address: address(i),
         data_centre: Name::new(format!("place-{}", i % places)),
         started,
+        // Two large VMs in each place.
+        capacity: if i < 2 * places { 50 } else { 10 },
     }
 }
 
--- a/cuminspread/tests/placing.rs
+++ b/cuminspread/tests/placing.rs
@@ -158,15 +158,16 @@
     }
 }
 
-#[test]
-fn steps() {
-    struct Case {
-        what: &'static str,
-        asked: Vec<Belief>,
-        progress: Progress,
-        aim_left: u64,
-        step: Step,
-    }
+struct StepCase {
+    what: &'static str,
+    asked: Vec<Belief>,
+    progress: Progress,
+    aim_left: u64,
+    step: Step,
+}
+
+#[allow(clippy::too_many_lines, reason = "a table of cases")]
+fn step_cases() -> Vec<StepCase> {
     let more = Progress {
         near_left: 3,
         far_left: 9,
@@ -192,74 +193,78 @@
         room: Some((2, 1.0)),
         ..GOOD
     };
-    let cases = [
-        Case {
+    vec![
+        StepCase {
             what: "nobody was asked yet",
             asked: vec![],
             progress: more,
             aim_left: 600,
             step: Step::LookNear,
         },
-        Case {
+        StepCase {
             what: "a good server is taken at once",
             asked: vec![slow, GOOD],
             progress: more,
             aim_left: 600,
             step: Step::Send(1),
         },
-        Case {
+        StepCase {
             what: "two slow ones: more near ones are asked",
             asked: vec![slow, slow],
             progress: more,
             aim_left: 600,
             step: Step::LookNear,
         },
-        Case {
+        StepCase {
             what: "all near ones are slow and there is time: they may get faster",
             asked: vec![slow, slow],
             progress: no_near,
             aim_left: 600,
             step: Step::Pause,
         },
-        Case {
+        StepCase {
             what: "they didn't: far ones are asked",
             asked: vec![slow, slow],
             progress: waited,
             aim_left: 600,
             step: Step::LookFar,
         },
-        Case {
+        StepCase {
             what: "all are slow: the request waits on while it can be in time",
             asked: vec![slow, slow],
             progress: all,
             aim_left: 600,
             step: Step::Pause,
         },
-        Case {
+        StepCase {
             what: "it can't be in time any more: a slow one with room is taken",
             asked: vec![full, slow],
             progress: all,
             aim_left: 100,
             step: Step::Send(1),
         },
-        Case {
+        StepCase {
             what: "a full server isn't run into, also when it is late",
             asked: vec![full, full],
             progress: all,
             aim_left: 100,
             step: Step::Pause,
         },
-        Case {
+        StepCase {
             what: "late: a fast one is taken without looking for better ones",
             asked: vec![GOOD],
             progress: more,
             aim_left: 50,
             step: Step::Send(0),
         },
-    ];
+    ]
+}
+
+#[test]
+fn steps() {
     let now = at(1000);
     let settings = PlacingSettings::default();
-    for case in cases {
+    for case in step_cases() {
         let standings: Vec<Standing> = case.asked.iter().map(|b| standing(*b, now)).collect();
         let need = Need {
             aim_left: ms(case.aim_left),
@@ -310,6 +315,13 @@
             work: None,
             avoided: true,
         },
+        Case {
+            what: "another server was faster",
+            took: 400,
+            end: End::Outrun,
+            work: None,
+            avoided: false,
+        },
         Case {
             what: "the caller left",
             took: 100,
--- a/cuminspread/tests/waiting.rs
+++ b/cuminspread/tests/waiting.rs
@@ -195,7 +195,8 @@
         );
         assert!(most <= Some(&Duration::from_millis(case.most)), "{most:?}");
         if case.least < case.most {
-            let spread = most.copied().unwrap_or_default() - least.copied().unwrap_or_default();
+            let span = |d: Option<&Duration>| d.copied().unwrap_or_default();
+            let spread = span(most).saturating_sub(span(least));
             let wanted = Duration::from_millis((case.most - case.least) * 3 / 4);
             assert!(spread > wanted, "{:?}: {spread:?}", case.cause);
         }
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -24,14 +24,16 @@
 use http::StatusCode;
 use http::response::Parts;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::exchange::{Outgoing, Sent, send};
 use super::look::{Looked, look};
-use super::state::{Edge, Running, ServerKey};
+use super::state::{Edge, MOVED, Running, ServerKey};
 
 /// Longest wait for the servers that were asked; near ones answer within 2 ms.
 const ANSWERS: Duration = Duration::from_millis(40);
+/// Longest wait for the others after the first answer.
+const OTHER_ANSWERS: Duration = Duration::from_millis(4);
 /// A question that is open for longer than this shows a server that is silent.
 const OPEN_QUESTION: Duration = Duration::from_millis(15);
 /// Time after which a service whose servers are all silent counts as having none.
@@ -130,6 +132,8 @@
     ticket: u64,
     left: Duration,
     ended: bool,
+    /// The request has its answer.
+    answered: &'a AtomicBool,
 }
 
 impl Flight<'_> {
@@ -153,8 +157,14 @@
 
 impl Drop for Flight<'_> {
     fn drop(&mut self) {
-        let late = self.edge.now() >= self.job.deadline;
-        self.end(if late { End::Silent } else { End::Dropped });
+        let end = if self.edge.now() >= self.job.deadline {
+            End::Silent
+        } else if self.answered.load(Ordering::Relaxed) {
+            End::Outrun
+        } else {
+            End::Dropped
+        };
+        self.end(end);
     }
 }
 
@@ -183,6 +193,7 @@
 }
 
 async fn serve(edge: &Arc<Edge>, job: &Job, committed: &AtomicBool, trail: &mut Trail) -> Reply {
+    let answered = AtomicBool::new(false);
     let mut flights = FuturesUnordered::new();
     let mut fallback = None;
     let mut hedge_at: Option<Instant> = None;
@@ -198,7 +209,7 @@
                 match placed {
                     Ok(target) => {
                         committed.store(true, Ordering::Relaxed);
-                        let flight = launch(edge, job, target, trail);
+                        let flight = launch(edge, job, target, &answered, trail);
                         hedge_at = hedge_time(job, &flight);
                         flights.push(fly(flight));
                     }
@@ -208,7 +219,10 @@
             }
             Some((mut flight, sent)) = flights.next(), if !flights.is_empty() => {
                 let (detail, arrived) = match judge(&mut flight, sent, trail) {
-                    Judged::Final(reply) => return reply,
+                    Judged::Final(reply) => {
+                        answered.store(true, Ordering::Relaxed);
+                        return reply;
+                    }
                     Judged::Again { detail, arrived, answer } => {
                         fallback = answer.or(fallback);
                         (detail, arrived)
@@ -238,7 +252,13 @@
     }
 }
 
-fn launch<'a>(edge: &'a Edge, job: &'a Job, target: Target, trail: &mut Trail) -> Flight<'a> {
+fn launch<'a>(
+    edge: &'a Edge,
+    job: &'a Job,
+    target: Target,
+    answered: &'a AtomicBool,
+    trail: &mut Trail,
+) -> Flight<'a> {
     let now = edge.now();
     let need = Need { now, ..target.need };
     let mut fleet = edge.fleet();
@@ -264,6 +284,7 @@
         left: job.deadline.since(now),
         target,
         ended: false,
+        answered,
     }
 }
 
@@ -337,6 +358,11 @@
         Sent::NotRun(detail, marks) => {
             trail.runs -= 1;
             if let Some(marks) = &marks {
+                if marks.misdirected
+                    && let Some(server) = flight.edge.fleet().server(flight.target.key)
+                {
+                    server.moved_until = flight.edge.now() + MOVED;
+                }
                 note_room(flight, marks);
                 flight.end(End::Refused);
             } else {
@@ -426,6 +452,9 @@
         let now = edge.now();
         let left = Left::new(edge, job, &tried, &mut asked);
         let need = left.need;
+        if looks > 0 && !left.alive {
+            return (Err(Cause::NoServer), looks);
+        }
         let nobody = left.near.is_empty() && left.far.is_empty() && asked.is_empty();
         if nobody && (left.silent == 0 || now.since(began) > SILENCE) {
             return (Err(Cause::NoServer), looks);
@@ -599,6 +628,8 @@
     silent: usize,
     /// No server of the data centre takes this request.
     no_near: bool,
+    /// Some server hasn't failed lately.
+    alive: bool,
 }
 
 impl Left {
@@ -613,7 +644,7 @@
             time_left: job.deadline.since(now),
             blind: fleet.is_blind(&job.service),
         };
-        let mut keys = fleet.usable(&job.service);
+        let mut keys = fleet.usable(now, &job.service);
         keys.retain(|k| !tried.contains(k));
         let mut left = Self {
             need,
@@ -621,13 +652,16 @@
             far: Vec::new(),
             silent: 0,
             no_near: true,
+            alive: false,
         };
         for key in keys {
             let Some(server) = fleet.server(key) else {
                 continue;
             };
             let near = server.standing.near;
-            left.no_near &= !near;
+            let alive = !server.standing.is_avoided(now);
+            left.alive |= alive;
+            left.no_near &= !near || !alive;
             if asked.contains(&key) {
                 continue;
             }
@@ -645,30 +679,30 @@
     }
 }
 
-/// Asks servers at once; returns as soon as one is good enough, or all have answered.
+/// Asks servers at once; returns when one is as good as any, soon after the first answer, or when
+/// all have answered.
 async fn look_at(edge: &Arc<Edge>, keys: &[ServerKey], need: &Need) {
     let tasks = keys
         .iter()
         .map(|k| tokio::spawn(look(Arc::clone(edge), *k)));
     let mut tasks: FuturesUnordered<_> = tasks.collect();
-    let answers = async {
-        while let Some(looked) = tasks.next().await {
-            if !matches!(looked, Ok(Looked::Answered)) {
-                continue;
-            }
-            let need = Need {
-                now: edge.now(),
-                ..*need
-            };
-            let fleet = edge.fleet();
-            let asked = fleet.standings(keys).map(|(_, s)| s);
-            if placing::is_served(asked, &need, edge.placing()) {
-                return;
-            }
-        }
-    };
+    let mut until = Instant::now() + ANSWERS;
     // Those that are later are noted when they answer.
-    let _ = timeout(ANSWERS, answers).await;
+    while let Ok(Some(looked)) = timeout_at(until, tasks.next()).await {
+        if !matches!(looked, Ok(Looked::Answered)) {
+            continue;
+        }
+        until = until.min(Instant::now() + OTHER_ANSWERS);
+        let need = Need {
+            now: edge.now(),
+            ..*need
+        };
+        let fleet = edge.fleet();
+        let asked = fleet.standings(keys).map(|(_, s)| s);
+        if placing::is_settled(asked, &need, edge.placing()) {
+            return;
+        }
+    }
 }
 
 fn report(edge: &Edge, job: &Job, trail: &Trail, answer: Option<&Reply>) {
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -51,16 +51,20 @@
 const MAX_LINES: usize = 24;
 /// Largest change of the configuration that goes into a datagram, in bytes.
 const MAX_DELTA: usize = 700;
-/// Peers of a data centre that pull from the sender of the news; others ask each other.
-const FIRST_PULLS: f64 = 6.0;
+/// One pull in this number goes to the one that told the news, the others to near peers.
+const ASK_TELLER: usize = 4;
+/// Time after news at which its extent is told once more, so that who missed it pulls it.
+const ECHO: Duration = Duration::from_millis(200);
+/// Pulls that are served at once; each of a large change takes a VM of 10 Mbit/s 0.1 s.
+const MAX_SERVED: usize = 3;
 /// Changes in one datagram; each is at most 90 bytes with ids of usual length.
 const CHANGES_PER_PART: usize = 12;
 /// Datagrams for one piece of news; more changes than these hold are pulled.
-const MAX_PARTS: usize = 6;
+const MAX_PARTS: usize = 3;
 /// Pause before a peer that doesn't have the news yet is asked again.
 const PULL_AGAIN: Duration = Duration::from_millis(40);
 /// Times that peers are asked for the same news.
-const PULL_TRIES: usize = 16;
+const PULL_TRIES: usize = 40;
 /// Time after the store's return in which missing entries may be back, with some slack.
 const RETURN_TIME: Duration = Duration::from_millis(2500);
 /// Odd number that spreads the bits of a product.
@@ -92,6 +96,8 @@
     knowledge: Mutex<Knowledge>,
     wake: Notify,
     pulling: AtomicBool,
+    /// Pulls that are being served.
+    serving: AtomicUsize,
 }
 
 impl Control {
@@ -111,14 +117,15 @@
             address,
             data_centre: settings.data_centre.clone(),
             started: edge.started_ms,
+            capacity: platform.capacity,
         };
         let is_seed = platform.seeds.contains(&address);
         let first = if is_seed && platform.first_start || platform.seeds.is_empty() {
             Duration::ZERO
         } else {
-            FIRST_WAIT + FIRST_SPREAD.mul_f64(unit(edge.started_ms ^ rank(address)))
+            FIRST_WAIT + FIRST_SPREAD.mul_f64(unit(edge.started_ms ^ me.rank()))
         };
-        let (rank, seed) = (rank(address), edge.started_ms ^ rank(address));
+        let (rank, seed) = (me.rank(), edge.started_ms ^ me.rank());
         let knowledge = Knowledge {
             catalog: Catalog::default(),
             reader: Reader::new(
@@ -141,6 +148,7 @@
             knowledge: Mutex::new(knowledge),
             wake: Notify::new(),
             pulling: AtomicBool::new(false),
+            serving: AtomicUsize::new(0),
         }))
     }
 
@@ -156,6 +164,11 @@
         ]
     }
 
+    /// Address of the link to peers.
+    pub fn address(&self) -> SocketAddr {
+        self.lock().mesh.me().address
+    }
+
     /// Tells peers that this daemon stops.
     pub fn leave(&self) {
         let mut k = self.lock();
@@ -246,7 +259,7 @@
         if self.lock().catalog.revision() > 0 {
             return;
         }
-        let salt = rank(self.lock().mesh.me().address).wrapping_mul(GOLDEN) ^ self.edge.started_ms;
+        let salt = self.lock().mesh.me().rank().wrapping_mul(GOLDEN) ^ self.edge.started_ms;
         let salt = salt.wrapping_mul(GOLDEN);
         match self.store.glimpse(salt, GLIMPSE_TIMEOUT).await {
             Ok(reading) => self.take_reading(reading),
@@ -379,7 +392,7 @@
     }
 
     /// Hands on what this daemon has just read.
-    fn publish(&self) {
+    fn publish(self: &Arc<Self>) {
         let mut k = self.lock();
         let extent = self.extent(&k);
         let base = k.published.first().copied().unwrap_or_default();
@@ -402,6 +415,7 @@
         drop(k);
         let fits = |d: &RoutingDelta| postcard::to_stdvec(d).is_ok_and(|b| b.len() <= MAX_DELTA);
         let delta = delta.filter(fits);
+        let is_news = !changes.is_empty() || delta.is_some();
         let mut parts = bulletins(&reader, extent, base, changes);
         if let Some(delta) = delta {
             // In a datagram of its own, which makes no one pull what the others bring.
@@ -424,10 +438,33 @@
             bulletin.relay = true;
             self.send_bulletin(&relays, &bulletin);
         }
+        if is_news {
+            tokio::spawn(Arc::clone(self).echo(extent));
+        }
+    }
+
+    /// Tells once more how far the news goes, through other relays.
+    async fn echo(self: Arc<Self>, extent: Extent) {
+        sleep(ECHO).await;
+        let mut k = self.lock();
+        let (near, relays) = (k.mesh.near(), k.mesh.relays());
+        let mut bulletin = Bulletin {
+            reader: k.mesh.me().clone(),
+            age: ECHO,
+            extent,
+            base: extent.revision,
+            changes: Vec::new(),
+            routing: None,
+            relay: false,
+        };
+        drop(k);
+        self.send_bulletin(&near, &bulletin);
+        bulletin.relay = true;
+        self.send_bulletin(&relays, &bulletin);
     }
 
     fn send_bulletin(&self, to: &[SocketAddr], bulletin: &Bulletin) {
-        let notice = Notice::Bulletin(bulletin.clone());
+        let notice = Notice::Bulletin(Box::new(bulletin.clone()));
         for peer in to {
             if !self.gossip.send(*peer, &notice) {
                 log::debug!("event=bulletin_unsent peer={peer}");
@@ -464,7 +501,7 @@
                     self.start_pull(vec![first, from], wanted);
                 }
             }
-            Notice::Bulletin(bulletin) => self.take_bulletin(from, bulletin),
+            Notice::Bulletin(bulletin) => self.take_bulletin(from, *bulletin),
             Notice::Leaving(daemon) => self.lock().mesh.left(&daemon),
             Notice::Crashes(crashes) => {
                 let mut fleet = self.edge.fleet();
@@ -487,7 +524,7 @@
         let mut k = self.lock();
         self.meet(&mut k, now, &bulletin.reader);
         let was = k.reader.role();
-        k.reader.heard(now, rank(reader), bulletin.age);
+        k.reader.heard(now, bulletin.reader.rank(), bulletin.age);
         if was == Role::Reader && k.reader.role() == Role::Follower {
             log::info!("event=leaves_reading_to reader={reader}");
         }
@@ -536,21 +573,20 @@
 
     /// Asks peers until this daemon knows as much as they said.
     ///
-    /// Only some ask the one that told the news, which could not serve a whole data centre at once;
-    /// the others ask near peers, which have the news soon.
+    /// The one that told the news could not serve a whole data centre at once, so mostly near peers
+    /// are asked, which have the news soon.
     async fn pull(self: Arc<Self>, told_by: Vec<SocketAddr>, wanted: Extent) {
         for i in 0..PULL_TRIES {
             let have = self.extent(&self.lock());
             if have.revision >= wanted.revision && have.version >= wanted.version {
                 break;
             }
-            let near = self.lock().mesh.near();
-            let seed = self.edge.now().0 ^ rank(told_by[0]);
-            let from_teller = unit(seed) * near.len() as f64 <= FIRST_PULLS;
-            let peer = if from_teller || near.is_empty() || i + 1 == PULL_TRIES {
-                told_by[i % told_by.len()]
+            let helper = self.lock().mesh.helper();
+            let teller = told_by[i / ASK_TELLER % told_by.len()];
+            let peer = if i % ASK_TELLER == 0 {
+                teller
             } else {
-                near[(unit(seed + 1) * near.len() as f64) as usize]
+                helper.unwrap_or(teller)
             };
             match self.gossip.pull(peer, self.want(have)).await {
                 Ok(supply) => self.take_supply(peer, supply),
@@ -558,7 +594,8 @@
             }
             let have = self.extent(&self.lock());
             if have.revision < wanted.revision || have.version < wanted.version {
-                sleep(PULL_AGAIN).await;
+                let spread = unit(self.edge.now().0 ^ self.edge.started_ms);
+                sleep(PULL_AGAIN.mul_f64(0.5 + spread)).await;
             }
         }
         self.pulling.store(false, Ordering::Release);
@@ -573,6 +610,9 @@
 
     fn take_supply(&self, peer: SocketAddr, supply: Supply) {
         let now = self.edge.now();
+        if supply.busy {
+            return;
+        }
         match supply.routing {
             Some(NewRouting::Whole(routing)) => {
                 self.edge.put_in_force(routing, "peer");
@@ -605,7 +645,7 @@
         self.apply(&new, "peer", Duration::ZERO);
     }
 
-    fn supply(&self, pull: Pull) -> Supply {
+    fn supply(&self, pull: &Pull) -> Supply {
         let now = self.edge.now();
         let mut k = self.lock();
         let routing: &Arc<Routing> = &Arc::clone(self.edge.table().routing());
@@ -624,6 +664,7 @@
             }),
             registry,
             revision,
+            busy: false,
             peers: k.mesh.sample(now, &pull.data_centre),
         }
     }
@@ -682,14 +723,6 @@
     parts
 }
 
-/// Rank among readers: the lower one goes on.
-fn rank(address: SocketAddr) -> u64 {
-    match address {
-        SocketAddr::V4(v4) => u64::from(v4.ip().to_bits()) << 16 | u64::from(v4.port()),
-        SocketAddr::V6(v6) => u64::from(v6.port()),
-    }
-}
-
 /// Number from 0 to 1 that looks random.
 fn unit(seed: u64) -> f64 {
     Pcg32::new(seed, 11).random_range(0.0..1.0)
@@ -727,10 +760,20 @@
             Ok(stream) => {
                 let control = Arc::clone(&control);
                 tokio::spawn(async move {
-                    let served = control.gossip.serve(stream, |pull| control.supply(pull));
+                    let before = control.serving.fetch_add(1, Ordering::AcqRel);
+                    let served = control.gossip.serve(stream, |pull| {
+                        if before < MAX_SERVED {
+                            return control.supply(&pull);
+                        }
+                        Supply {
+                            busy: true,
+                            ..Supply::default()
+                        }
+                    });
                     if let Err(e) = served.await {
                         log::debug!("event=pull_unserved cause=\"{e}\"");
                     }
+                    control.serving.fetch_sub(1, Ordering::AcqRel);
                 });
             }
             Err(e) => {
--- a/cuminspreadd/src/edge/look.rs
+++ b/cuminspreadd/src/edge/look.rs
@@ -16,7 +16,7 @@
 use http::header::HOST;
 use http_body_util::Full;
 
-use super::state::{Edge, ServerKey};
+use super::state::{Edge, MOVED, ServerKey};
 
 /// Longest time for an answer; servers answer at once, and far ones are 10 ms away.
 const TIMEOUT: Duration = Duration::from_millis(250);
@@ -57,7 +57,7 @@
             return Looked::Answered;
         }
         Ok(Ok(health)) => {
-            server.standing.note_failure(now, edge.placing());
+            server.moved_until = now + MOVED;
             let other = health.server.unwrap_or_default();
             edge.metrics.count_look("moved");
             log::info!(
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -97,6 +97,11 @@
         self.readiness
     }
 
+    /// Address for peers.
+    pub fn peer(&self) -> SocketAddr {
+        self.control.address()
+    }
+
     /// Takes changed settings; only some can change while the daemon runs.
     pub fn reload(&self, platform: &EdgeSettings) {
         self.control.set_seeds(platform.seeds.clone());
--- a/cuminspreadd/src/edge/settings.rs
+++ b/cuminspreadd/src/edge/settings.rs
@@ -18,6 +18,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The whole system starts for the first time, before any traffic.
     pub first_start: bool,
+    /// Size of this VM against others of the fleet, such as its share of a core in percent.
+    pub capacity: u16,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
     /// Repeated sends a service gets over the whole fleet, as a part of its requests.
@@ -42,6 +44,7 @@
             readiness: any,
             seeds: Vec::new(),
             first_start: false,
+            capacity: 0,
             grace: Duration::from_secs(6),
             retry_ratio: 0.2,
             retry_slack: 64.0,
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -32,6 +32,9 @@
 const WORK_OF_AIM: f32 = 0.35;
 /// Weight of one more sample of a route's work time.
 const WORK_WEIGHT: f32 = 0.05;
+/// Time for which a server gets nothing after another one answered at its address; the registry has
+/// the truth by then.
+pub const MOVED: Duration = Duration::from_secs(3);
 /// Least connections that a daemon may hold to one server.
 const MIN_CONNECTIONS: u32 = 4;
 
@@ -57,6 +60,8 @@
     pub upstream: Arc<Upstream>,
     /// Time since which it has been asked for its load.
     pub asked: Option<Mono>,
+    /// Another server answers at its address; until then it gets nothing.
+    pub moved_until: Mono,
 }
 
 /// Servers, and what is known of services and routes.
@@ -341,6 +346,7 @@
             standing: Standing::new(near, entry.slots, edge.now() + entry.warm_up),
             upstream: Arc::new(upstream),
             asked: None,
+            moved_until: Mono::default(),
         };
         self.servers.insert(key, server);
         self.keys.insert(entry.id.clone(), key);
@@ -429,9 +435,12 @@
     }
 
     /// Servers of a service that take new work.
-    pub fn usable(&self, service: &str) -> Vec<ServerKey> {
+    pub fn usable(&self, now: Mono, service: &str) -> Vec<ServerKey> {
         let keys = self.by_service.get(service).into_iter().flatten();
-        let usable = |k: &&ServerKey| self.servers.get(k).is_some_and(|s| !s.entry.draining);
+        let usable = |k: &&ServerKey| {
+            let server = self.servers.get(k);
+            server.is_some_and(|s| !s.entry.draining && now >= s.moved_until)
+        };
         keys.filter(usable).copied().collect()
     }
 
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -7,7 +7,7 @@
 //! | `platform` | `url` |
 //! | `store` | `address` |
 //! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
-//! | `peers` | `key`, `previous_key`, `lease_ms`, `renew_ms`, `skew_ms`, `seeds`, `first_start` |
+//! | `peers` | `key`, `previous_key`, `lease_ms`, `renew_ms`, `skew_ms`, `seeds`, `first_start`, `core_share` |
 //! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
 //! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `max_stored` |
 //! | `traces` | `otlp`, `file` |
@@ -177,6 +177,7 @@
             ("listen", "readiness") => edge(s).readiness = address(value)?,
             ("store", "address") => edge(s).store = address(value)?,
             ("peers", "seeds") => edge(s).seeds = addresses(value)?,
+            ("peers", "core_share") => edge(s).capacity = (fraction(value)? * 100.0) as u16,
             ("peers", "first_start") => edge(s).first_start = flag(value)?,
             ("bounds", "grace_s") => edge(s).grace = seconds(value)?,
             ("bounds", "retry_ratio") => edge(s).retry_ratio = fraction(value)?,
@@ -297,7 +298,7 @@
         "store" => "address",
         "bounds" => "grace_s, retry_ratio, retry_slack, looks_per_s",
         "platform" => "url",
-        "peers" => "key, previous_key, lease_ms, renew_ms, skew_ms, seeds, first_start",
+        "peers" => "key, previous_key, lease_ms, renew_ms, skew_ms, seeds, first_start, core_share",
         "callers" => {
             "head_timeout_ms, body_timeout_ms, max_head, max_headers, max_connections, max_buffered"
         }
--- /dev/null
+++ b/cuminspreadd/tests/edge/answers.rs
@@ -0,0 +1,324 @@
+//! What callers get, and how often servers run a request, for each way in which a server misbehaves.
+
+use std::time::Duration;
+
+use cuminspread_platform::standin::client::ClientRequest;
+use cuminspread_platform::standin::server::Behaviour;
+use cuminspread_platform::standin::store::RouteRow;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+
+use crate::caller::Caller;
+use crate::site::{Site, send, wait_for};
+
+struct Case {
+    behaviour: Behaviour,
+    idempotent: bool,
+    status: u16,
+    /// The answer's body is the server's.
+    own_body: bool,
+    /// Runs of one request over both servers, which both behave alike.
+    runs: usize,
+}
+
+#[tokio::test]
+async fn servers_that_misbehave() {
+    let good = |behaviour, idempotent| Case {
+        behaviour,
+        idempotent,
+        status: 200,
+        own_body: true,
+        runs: 1,
+    };
+    // A request that may run once gets one server, and no success that isn't the server's; one that
+    // may run again gets a second server.
+    let unknown = |behaviour, idempotent| Case {
+        behaviour,
+        idempotent,
+        status: 502,
+        own_body: false,
+        runs: if idempotent { 2 } else { 1 },
+    };
+    let cases = [
+        good(Behaviour::Answer, true),
+        good(Behaviour::Answer, false),
+        good(Behaviour::NoLength, false),
+        good(Behaviour::Extra, false),
+        good(Behaviour::Early, false),
+        good(Behaviour::Large(200), false),
+        unknown(Behaviour::Reset, true),
+        unknown(Behaviour::Reset, false),
+        unknown(Behaviour::CutShort, true),
+        unknown(Behaviour::CutShort, false),
+        unknown(Behaviour::Foreign, true),
+        unknown(Behaviour::Foreign, false),
+        unknown(Behaviour::Unsigned, false),
+        unknown(Behaviour::Encoded, false),
+        unknown(Behaviour::Garbage, true),
+        unknown(Behaviour::Garbage, false),
+        Case {
+            behaviour: Behaviour::Fail,
+            idempotent: false,
+            status: 500,
+            own_body: true,
+            runs: 1,
+        },
+        Case {
+            behaviour: Behaviour::Fail,
+            idempotent: true,
+            status: 500,
+            own_body: true,
+            runs: 2,
+        },
+        Case {
+            behaviour: Behaviour::Shed,
+            idempotent: false,
+            status: 503,
+            own_body: false,
+            runs: 0,
+        },
+        Case {
+            behaviour: Behaviour::Misdirected,
+            idempotent: false,
+            status: 503,
+            own_body: false,
+            runs: 0,
+        },
+    ];
+    for case in cases {
+        let what = format!("{:?}, idempotent={}", case.behaviour, case.idempotent);
+        let route = RouteRow {
+            idempotent: case.idempotent,
+            ..RouteRow::default()
+        };
+        let site = Site::new(2, route).await;
+        let daemon = site.daemon().await;
+        for server in &site.servers {
+            server.set(case.behaviour);
+        }
+        let req = ClientRequest {
+            method: "POST",
+            body: "two copies",
+            ..ClientRequest::default()
+        };
+        let answer = send(&daemon, &req).await;
+        assert_eq!(answer.status, case.status, "{what}");
+        assert!(answer.whole, "{what}");
+        let signature = answer.field("x-signed").is_none() && answer.head.contains("signature");
+        assert_eq!(signature, case.own_body, "{what}");
+        if case.behaviour == Behaviour::Early {
+            // The server reads the body, and counts the run, after its answer.
+            wait_for("a run", async || site.runs() > 0).await;
+        }
+        assert_eq!(site.runs(), case.runs, "{what}");
+        if case.status == 503 {
+            let secs: f64 = answer.field("retry-after").unwrap().parse().unwrap();
+            assert!(secs > 0.0, "{what}");
+        }
+        daemon.kill();
+    }
+}
+
+#[tokio::test]
+async fn a_request_reaches_its_server_unchanged() {
+    let site = Site::new(1, RouteRow::default()).await;
+    let daemon = site.daemon().await;
+    let req = ClientRequest {
+        method: "PUT",
+        target: "/jobs/7/2f?copies=2&x=%20",
+        id: "id-7",
+        deadline_ms: 1500,
+        fields: "x-council: vest\r\nconnection: x-hop\r\nx-hop: 1\r\n",
+        body: "two copies, stapled",
+        chunked: true,
+    };
+    let answer = send(&daemon, &req).await;
+    assert_eq!(
+        (answer.status, answer.text().as_str()),
+        (200, "answer to id-7")
+    );
+    let run = site.servers[0].runs().remove(0);
+    assert_eq!(run.line, "PUT /jobs/7/2f?copies=2&x=%20 HTTP/1.1");
+    assert_eq!(run.body, b"two copies, stapled");
+    assert_eq!(run.meant_for, "i-0");
+    let left = run.left_ms.unwrap();
+    assert!((1000..=1500).contains(&left), "{left}");
+    assert!(run.head.contains("x-council: vest"), "{}", run.head);
+    assert!(!run.head.contains("x-hop"), "{}", run.head);
+    daemon.kill();
+}
+
+#[tokio::test]
+async fn requests_without_a_route_or_an_identity() {
+    struct Fault {
+        target: &'static str,
+        id: &'static str,
+        fields: &'static str,
+        status: u16,
+    }
+    let route = RouteRow {
+        prefix: "/jobs/",
+        ..RouteRow::default()
+    };
+    let site = Site::new(1, route).await;
+    let daemon = site.daemon().await;
+    let cases = [
+        Fault {
+            target: "/jobs/7",
+            id: "id-1",
+            fields: "",
+            status: 200,
+        },
+        Fault {
+            target: "/orders/7",
+            id: "id-2",
+            fields: "",
+            status: 404,
+        },
+        Fault {
+            target: "/jobs/7",
+            id: "",
+            fields: "",
+            status: 400,
+        },
+        Fault {
+            target: "/jobs/7",
+            id: "id-3",
+            fields: "content-length: 0\r\ntransfer-encoding: chunked\r\n",
+            status: 400,
+        },
+    ];
+    for case in cases {
+        let req = ClientRequest {
+            target: case.target,
+            id: case.id,
+            fields: case.fields,
+            ..ClientRequest::default()
+        };
+        let mut caller = Caller::connect(daemon.front()).await;
+        caller.write(req.text().as_bytes()).await;
+        if case.fields.contains("chunked") {
+            caller.write(b"0\r\n\r\n").await;
+        }
+        let answer = caller.answer(false).await;
+        assert_eq!(answer.status, case.status, "{} {}", case.target, case.id);
+    }
+    daemon.kill();
+}
+
+#[tokio::test]
+async fn a_request_is_kept_no_longer_than_its_route_allows() {
+    struct Wait {
+        idempotent: bool,
+        deadline_ms: u64,
+        least: u64,
+    }
+    let cases = [
+        Wait {
+            idempotent: false,
+            deadline_ms: 5000,
+            least: 500,
+        },
+        Wait {
+            idempotent: true,
+            deadline_ms: 5000,
+            least: 500,
+        },
+        Wait {
+            idempotent: false,
+            deadline_ms: 300,
+            least: 300,
+        },
+    ];
+    for case in cases {
+        let route = RouteRow {
+            idempotent: case.idempotent,
+            timeout_s: 0.5,
+            aim_s: 0.2,
+            ..RouteRow::default()
+        };
+        let site = Site::new(3, route).await;
+        let daemon = site.daemon().await;
+        for server in &site.servers {
+            server.set(Behaviour::Hang);
+        }
+        let req = ClientRequest {
+            deadline_ms: case.deadline_ms,
+            ..ClientRequest::default()
+        };
+        let began = std::time::Instant::now();
+        let answer = send(&daemon, &req).await;
+        let took = began.elapsed();
+        assert_eq!(answer.status, 504);
+        assert!(took >= Duration::from_millis(case.least), "{took:?}");
+        assert!(took < Duration::from_millis(case.least + 200), "{took:?}");
+        let given = site.servers.iter().flat_map(|s| s.runs());
+        for run in given {
+            let left = run.left_ms.unwrap();
+            assert!(left <= case.least, "{left}");
+        }
+        daemon.kill();
+    }
+}
+
+#[tokio::test]
+async fn work_of_callers_that_left_ends() {
+    struct Leaves {
+        idempotent: bool,
+        /// The server sees its connection close.
+        ends: bool,
+    }
+    // An order that has begun is finished: breaking it off could leave half of it done.
+    let cases = [
+        Leaves {
+            idempotent: true,
+            ends: true,
+        },
+        Leaves {
+            idempotent: false,
+            ends: false,
+        },
+    ];
+    for case in cases {
+        let route = RouteRow {
+            idempotent: case.idempotent,
+            max_attempts: 1,
+            ..RouteRow::default()
+        };
+        let site = Site::new(1, route).await;
+        let daemon = site.daemon().await;
+        site.servers[0].set(Behaviour::Slow(1200));
+        let mut stream = TcpStream::connect(daemon.front()).await.unwrap();
+        let text = ClientRequest::default().text();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        wait_for("a run", async || site.runs() == 1).await;
+        drop(stream);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let ended = !site.servers[0].dropped().is_empty();
+        assert_eq!(ended, case.ends, "idempotent={}", case.idempotent);
+        daemon.kill();
+    }
+}
+
+#[tokio::test]
+async fn kept_connections_carry_many_requests_and_close_when_idle() {
+    let site = Site::without_config(1).await;
+    let text = cuminspread_platform::standin::store::config(3, &[RouteRow::default()], 0.4);
+    site.store.put("op/config", text);
+    let daemon = site.daemon().await;
+    let mut caller = Caller::connect(daemon.front()).await;
+    for i in 0..5 {
+        let id = format!("id-{i}");
+        let req = ClientRequest {
+            id: &id,
+            ..ClientRequest::default()
+        };
+        caller.write(req.text().as_bytes()).await;
+        assert_eq!(caller.answer(false).await.status, 200);
+        // Most of the idle time that the configuration allows.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(caller.answer(false).await.status, 0, "it was closed");
+    daemon.kill();
+}
--- /dev/null
+++ b/cuminspreadd/tests/edge/program.rs
@@ -0,0 +1,145 @@
+//! The program: its settings for a platform with a store, its signals and its log.
+
+use std::fs;
+use std::io::{BufRead as _, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use cuminspread_platform::standin::client::ClientRequest;
+use cuminspread_platform::standin::store::RouteRow;
+use cuminspreadd::settings::file;
+use tokio::sync::mpsc;
+
+use crate::caller;
+use crate::site::{Site, wait_for};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cuminspreadd");
+
+fn settings(site: &Site, front: u16) -> String {
+    format!(
+        "[daemon]\nname = vm-1\ndata_centre = here\n\n[listen]\nfront = 127.0.0.1:{front}\n\n\
+         [store]\naddress = {}\n\n[peers]\nseeds =\nfirst_start = false\n\n\
+         [bounds]\ngrace_s = 6\nretry_ratio = 0.2\nretry_slack = 64\nlooks_per_s = 60\n",
+        site.store.address()
+    )
+}
+
+#[test]
+fn faults_name_file_and_line() {
+    struct Case {
+        line: &'static str,
+        fault: &'static str,
+    }
+    let cases = [
+        Case {
+            line: "[store]\naddress = nowhere",
+            fault: "vm.ini:2: [store] address:",
+        },
+        Case {
+            line: "[bounds]\ngrace_s = -1",
+            fault: "vm.ini:2: [bounds] grace_s:",
+        },
+        Case {
+            line: "[bounds]\nretry_ratio = 2",
+            fault: "vm.ini:2: [bounds] retry_ratio:",
+        },
+        Case {
+            line: "[peers]\nfirst_start = maybe",
+            fault: "vm.ini:2: [peers] first_start:",
+        },
+        Case {
+            line: "[peers]\nseeds = 10.0.0.1:1, nowhere",
+            fault: "vm.ini:2: [peers] seeds:",
+        },
+        Case {
+            line: "[store]\nurl = x",
+            fault: "vm.ini:2: [store] url: unknown key; allowed: address",
+        },
+    ];
+    for case in cases {
+        let faults = file::parse("vm.ini", case.line).unwrap_err().to_string();
+        assert!(faults.contains(case.fault), "{faults}");
+    }
+}
+
+/// Starts the program; its lines come through the channel.
+fn start(name: &str, text: &str) -> (Child, mpsc::UnboundedReceiver<String>, PathBuf) {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    let mut child = Command::new(PROGRAM)
+        .arg("--settings")
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let out = BufReader::new(child.stdout.take().unwrap());
+    let (tx, rx) = mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        for line in out.lines().map_while(Result::ok) {
+            let _ = tx.send(line);
+        }
+    });
+    (child, rx, path)
+}
+
+async fn line_with(rx: &mut mpsc::UnboundedReceiver<String>, what: &str) -> String {
+    let read = async {
+        while let Some(line) = rx.recv().await {
+            if line.contains(what) {
+                return line;
+            }
+        }
+        panic!("the program ended without {what}");
+    };
+    let read = tokio::time::timeout(caller::PATIENCE, read).await;
+    read.unwrap_or_else(|_| panic!("no line with {what}"))
+}
+
+fn signal(child: &Child, name: &str) {
+    let status = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(child.id().to_string())
+        .status()
+        .unwrap();
+    assert!(status.success());
+}
+
+#[tokio::test]
+async fn serves_logs_reloads_and_stops() {
+    let site = Site::new(1, RouteRow::default()).await;
+    let (mut child, mut rx, path) = start("edge.ini", &settings(&site, 0));
+    let started = line_with(&mut rx, "event=started").await;
+    let front = started.split("front=").nth(1).unwrap();
+    let front = front.split(' ').next().unwrap().parse().unwrap();
+    line_with(&mut rx, "event=in_force version=3").await;
+    let req = ClientRequest {
+        id: "order-77",
+        ..ClientRequest::default()
+    };
+    wait_for("an answer", async || {
+        caller::send(front, &req.text()).await.status == 200
+    })
+    .await;
+    let line = line_with(&mut rx, "event=request id=order-77").await;
+    for field in [
+        "route=r-1",
+        "version=3",
+        "server=i-0",
+        "outcome=served",
+        "report_age_us=",
+    ] {
+        assert!(line.contains(field), "{line}");
+    }
+    let changed = settings(&site, 0).replace("seeds =", "seeds = 127.0.0.1:9");
+    fs::write(&path, &changed).unwrap();
+    signal(&child, "HUP");
+    line_with(&mut rx, "event=reloaded seeds=1").await;
+    fs::write(&path, changed.replace("grace_s = 6", "grace_s = six")).unwrap();
+    signal(&child, "HUP");
+    let refused = line_with(&mut rx, "event=reload_refused").await;
+    assert!(refused.contains("edge.ini:16"), "{refused}");
+    signal(&child, "TERM");
+    line_with(&mut rx, "event=stopping").await;
+    line_with(&mut rx, "event=stopped whole=true").await;
+    assert!(child.wait().unwrap().success());
+}
