--- a/cumin/src/main.rs
+++ b/cumin/src/main.rs
@@ -11,6 +11,7 @@
 mod check;
 mod counters;
 mod replay;
+mod request;
 mod show;
 mod top;
 
@@ -52,6 +53,7 @@
         .subcommand(Command::new("versions").about("Compares configuration versions in force"))
         .subcommand(Command::new("drain").about("Begins a planned stop of the daemons"))
         .subcommand(explain_command())
+        .subcommand(request::command())
         .subcommand(check::command())
         .subcommand(replay::command())
         .subcommand(top::command())
@@ -79,6 +81,9 @@
     if name == "check" {
         return check::run(args, json);
     }
+    if name == "explain-request" {
+        return request::run(args, json);
+    }
     if name == "replay" {
         return replay::run(args, json);
     }
--- /dev/null
+++ b/cumin/src/request.rs
@@ -0,0 +1,158 @@
+//! `cumin explain-request`: what happened to one request, from the daemons' logs.
+//!
+//! Lines of all daemons for one id are put in order of time, and the last decisions are summed up in
+//! a sentence. Clocks of VMs may differ by some milliseconds, so lines of one moment may be swapped.
+
+use std::collections::HashMap;
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::process::ExitCode;
+
+use anyhow::Context as _;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+
+/// Arguments.
+pub fn command() -> Command {
+    Command::new("explain-request")
+        .about("Says what happened to a request, from the daemons' logs")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("Identity of the client's attempt"),
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .action(ArgAction::Append)
+                .help("Log files; standard input if none is named"),
+        )
+}
+
+/// Runs the subcommand; the exit status is 1 if no line names the request.
+pub fn run(args: &ArgMatches, json: bool) -> anyhow::Result<ExitCode> {
+    let id: &String = args.get_one("id").context("no id")?;
+    let mut lines = Vec::new();
+    let logs: Vec<&String> = args.get_many("logs").into_iter().flatten().collect();
+    if logs.is_empty() {
+        collect(id, io::stdin().lock(), &mut lines)?;
+    }
+    for log in logs {
+        let file = fs::File::open(log).with_context(|| format!("step=read peer={log}"))?;
+        collect(id, BufReader::new(file), &mut lines)?;
+    }
+    lines.sort_by_key(|line| line.time_ms);
+    if lines.is_empty() {
+        println!("no line names {id}; the log may be of another time, or lines were dropped");
+        return Ok(ExitCode::FAILURE);
+    }
+    let cause = explain(&lines);
+    if json {
+        let texts: Vec<&str> = lines.iter().map(|l| l.text.as_str()).collect();
+        println!(
+            "{}",
+            serde_json::json!({"id": id, "lines": texts, "cause": cause})
+        );
+    } else {
+        for line in &lines {
+            println!("{}", line.text);
+        }
+        println!("{cause}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// One line of a log.
+struct Line {
+    time_ms: u64,
+    fields: HashMap<String, String>,
+    text: String,
+}
+
+impl Line {
+    fn parse(text: String) -> Self {
+        let words = text.split_whitespace();
+        let pairs = words.filter_map(|w| w.split_once('='));
+        let fields: HashMap<String, String> = pairs
+            .map(|(name, value)| (name.to_owned(), value.trim_matches('"').to_owned()))
+            .collect();
+        let time = fields.get("time_ms").and_then(|t| t.parse().ok());
+        Self {
+            time_ms: time.unwrap_or(0),
+            fields,
+            text,
+        }
+    }
+
+    fn field(&self, name: &str) -> &str {
+        self.fields.get(name).map_or("", String::as_str)
+    }
+}
+
+fn collect(id: &str, input: impl BufRead, lines: &mut Vec<Line>) -> anyhow::Result<()> {
+    for text in input.lines() {
+        let text = text.context("step=read")?;
+        if text.contains(id) {
+            let line = Line::parse(text);
+            if line.field("id") == id {
+                lines.push(line);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Cause of the request's outcome, in a sentence.
+fn explain(lines: &[Line]) -> String {
+    let Some(end) = lines.iter().rev().find(|l| l.field("event") == "request") else {
+        return "The request has not ended, or its last line was dropped.".to_owned();
+    };
+    let (service, server) = (end.field("service"), end.field("server"));
+    let waited: u64 = end.field("waited_us").parse().unwrap_or(0) / 1000;
+    let took: u64 = end.field("took_us").parse().unwrap_or(0) / 1000;
+    let reason = match (end.field("outcome"), end.field("detail")) {
+        ("served", _) => format!("It was served by {server}"),
+        ("passed_on", _) => format!(
+            "Server {server} answered with status {}, which was passed on",
+            end.field("status")
+        ),
+        ("refused", "no_configuration") => {
+            "It was refused, and has not run: the daemon had just started and knew no \
+             configuration"
+                .to_owned()
+        }
+        ("refused", "no_server") => format!(
+            "It was refused, and has not run: no server of {service} took work, or all failed"
+        ),
+        ("refused", "no_room") => {
+            format!("It was refused, and has not run: no server of {service} had room in time")
+        }
+        ("refused", "stopping") => {
+            "It was refused, and has not run: the daemon was about to stop".to_owned()
+        }
+        ("refused", detail) => format!("It was refused, and has not run: {detail}"),
+        ("failed", "timeout") => format!(
+            "Its outcome is unknown: server {server} had not answered when its time was over"
+        ),
+        ("failed", detail) => {
+            format!("Its outcome is unknown: the answer of server {server} was lost ({detail})")
+        }
+        ("no_route", _) => format!(
+            "No route of version {} leads to a service",
+            end.field("version")
+        ),
+        ("caller_left", _) => "Its caller left before there was an answer".to_owned(),
+        (outcome, _) => format!("It ended with the outcome {outcome}"),
+    };
+    let version = end.field("version");
+    format!(
+        "{reason}; {} sends, {} hedges, {waited} ms until the first send, {took} ms in all, \
+         configuration {version}.",
+        or_zero(end.field("sends")),
+        or_zero(end.field("hedges")),
+    )
+}
+
+fn or_zero(text: &str) -> &str {
+    if text.is_empty() { "0" } else { text }
+}
--- /dev/null
+++ b/cumin/tests/request.rs
@@ -0,0 +1,76 @@
+//! `cumin explain-request` finds the lines of one request and says its cause.
+
+use std::io::Write as _;
+use std::process::{Command, Stdio};
+
+const LOG: &str = "\
+time_ms=20 level=info event=placed id=a-1 server=i-2 slowness=1.00 report_age_us=300
+time_ms=10 level=info event=placed id=a-1 server=i-1 slowness=1.00 report_age_us=90
+time_ms=15 level=info event=repeat id=a-1 cause=refused
+time_ms=40 level=info event=request id=a-1 route=r version=7 service=status server=i-2 near=true outcome=served status=200 detail=answer sends=2 runs=1 hedges=0 looks=4 waited_us=2000 took_us=30000
+time_ms=50 level=warn event=request id=a-10 route=r version=7 service=orders server= near=false outcome=refused status=503 detail=no_room sends=0 runs=0 hedges=0 looks=9 waited_us=0 took_us=450000
+time_ms=60 level=warn event=request id=a-11 route=r version=7 service=orders server=i-3 near=true outcome=failed status=504 detail=timeout sends=1 runs=1 hedges=0 looks=2 waited_us=900 took_us=2500000
+time_ms=70 level=info event=request id=a-12 outcome=no_route version=8
+";
+
+struct Case {
+    id: &'static str,
+    lines: usize,
+    cause: &'static str,
+    found: bool,
+}
+
+#[test]
+fn causes() {
+    let cases = [
+        Case {
+            id: "a-1",
+            lines: 4,
+            cause: "It was served by i-2; 2 sends, 0 hedges, 2 ms until the first send, 30 ms",
+            found: true,
+        },
+        Case {
+            id: "a-10",
+            lines: 1,
+            cause: "has not run: no server of orders had room in time; 0 sends",
+            found: true,
+        },
+        Case {
+            id: "a-11",
+            lines: 1,
+            cause: "outcome is unknown: server i-3 had not answered when its time was over",
+            found: true,
+        },
+        Case {
+            id: "a-12",
+            lines: 1,
+            cause: "No route of version 8",
+            found: true,
+        },
+        Case {
+            id: "a-2",
+            lines: 0,
+            cause: "no line names a-2",
+            found: false,
+        },
+    ];
+    for case in cases {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cumin"))
+            .args(["explain-request", case.id])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("cumin runs");
+        let mut stdin = child.stdin.take().expect("a pipe");
+        stdin.write_all(LOG.as_bytes()).expect("it reads");
+        drop(stdin);
+        let output = child.wait_with_output().expect("it ends");
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert_eq!(output.status.success(), case.found, "{text}");
+        let lines: Vec<&str> = text.lines().collect();
+        assert_eq!(lines.len(), case.lines + 1, "{text}");
+        assert!(lines[case.lines].contains(case.cause), "{text}");
+        let times = lines[..case.lines].iter().map(|l| l.split(' ').next());
+        assert!(times.is_sorted(), "{text}");
+    }
+}
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -229,7 +229,10 @@
                     }
                 };
                 drop(flight);
-                if may_repeat(edge, job, trail, arrived) {
+                let again = may_repeat(edge, job, trail, arrived);
+                let (id, server) = (&job.out.id, &trail.server);
+                log::info!("event=send_ended id={id} server={server} cause={detail} again={again}");
+                if again {
                     hedge_at = None;
                     placing.set(OptionFuture::from(Some(place(edge, job, trail.tried.clone()))));
                 } else if flights.is_empty() {
@@ -242,6 +245,9 @@
                 let crowded = !edge.fleet().queue(&job.service).line.is_empty();
                 if !crowded && may_repeat(edge, job, trail, true) {
                     trail.hedges += 1;
+                    let after = edge.now().since(job.arrived).as_micros();
+                    let (id, server) = (&job.out.id, &trail.server);
+                    log::info!("event=hedged id={id} silent={server} after_us={after}");
                     placing.set(OptionFuture::from(Some(place(edge, job, trail.tried.clone()))));
                 }
             }
@@ -273,6 +279,19 @@
         }
     }
     drop(fleet);
+    log::info!(
+        "event=placed id={} server={} near={} service={} version={} slowness={:.2} \
+         report_age_us={} looks={} aim_left_ms={}",
+        job.out.id,
+        trail.server,
+        trail.near,
+        job.service,
+        job.version,
+        trail.slowness,
+        trail.report_age.as_micros(),
+        trail.looks,
+        need.aim_left.as_millis(),
+    );
     trail.tried.push(target.key);
     trail.sends += 1;
     trail.runs += 1;
@@ -574,6 +593,7 @@
                         return Err(Cause::NoRoom);
                     }
                     self.waiting = Some(queue.join(now, self.claim));
+                    note_waiting(self.job, queue.line.len());
                     continue;
                 };
                 let mut wake_at = last;
@@ -604,10 +624,16 @@
         queue.look_at = now + self.edge.placing().pause;
         if self.waiting.is_none() {
             self.waiting = Some(queue.join(now, self.claim));
+            note_waiting(self.job, queue.line.len());
         }
     }
 }
 
+fn note_waiting(job: &Job, waiting: usize) {
+    let (id, service) = (&job.out.id, &job.service);
+    log::info!("event=waits id={id} service={service} waiting={waiting}");
+}
+
 impl Drop for Turn<'_> {
     fn drop(&mut self) {
         if let Some((ticket, _)) = self.waiting.take() {
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -44,7 +44,7 @@
 /// Longest time for each call of that read.
 const GLIMPSE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Random time added to the first wait, so that not all read if no seed is there.
-const FIRST_SPREAD: Duration = Duration::from_millis(1000);
+const FIRST_SPREAD: Duration = Duration::from_secs(1);
 /// Bulletins that repeat a change, since datagrams get lost.
 const REPEATS: usize = 3;
 /// Lines for the servers of one piece of news; more are told by their number.
@@ -416,7 +416,7 @@
         let fits = |d: &RoutingDelta| postcard::to_stdvec(d).is_ok_and(|b| b.len() <= MAX_DELTA);
         let delta = delta.filter(fits);
         let is_news = !changes.is_empty() || delta.is_some();
-        let mut parts = bulletins(&reader, extent, base, changes);
+        let mut parts = bulletins(&reader, extent, base, &changes);
         if let Some(delta) = delta {
             // In a datagram of its own, which makes no one pull what the others bring.
             let mut first = parts.remove(0);
@@ -477,7 +477,7 @@
         match notice {
             Notice::Hello(daemon) => {
                 let mut k = self.lock();
-                self.meet(&mut k, now, &daemon);
+                meet(&mut k, now, &daemon);
                 let peers = Notice::Peers(k.mesh.sample(now, &daemon.data_centre));
                 drop(k);
                 self.gossip.send(from, &peers);
@@ -501,7 +501,7 @@
                     self.start_pull(vec![first, from], wanted);
                 }
             }
-            Notice::Bulletin(bulletin) => self.take_bulletin(from, *bulletin),
+            Notice::Bulletin(bulletin) => self.take_bulletin(from, &bulletin),
             Notice::Leaving(daemon) => self.lock().mesh.left(&daemon),
             Notice::Crashes(crashes) => {
                 let mut fleet = self.edge.fleet();
@@ -512,17 +512,11 @@
         }
     }
 
-    fn meet(&self, k: &mut Knowledge, now: Mono, daemon: &Daemon) {
-        if k.mesh.heard(now, daemon) {
-            note_peer(daemon);
-        }
-    }
-
-    fn take_bulletin(self: &Arc<Self>, from: SocketAddr, bulletin: Bulletin) {
+    fn take_bulletin(self: &Arc<Self>, from: SocketAddr, bulletin: &Bulletin) {
         let now = self.edge.now();
         let reader = bulletin.reader.address;
         let mut k = self.lock();
-        self.meet(&mut k, now, &bulletin.reader);
+        meet(&mut k, now, &bulletin.reader);
         let was = k.reader.role();
         k.reader.heard(now, bulletin.reader.rank(), bulletin.age);
         if was == Role::Reader && k.reader.role() == Role::Follower {
@@ -689,13 +683,19 @@
     pub received_bytes: u64,
 }
 
+fn meet(k: &mut Knowledge, now: Mono, daemon: &Daemon) {
+    if k.mesh.heard(now, daemon) {
+        note_peer(daemon);
+    }
+}
+
 fn note_peer(daemon: &Daemon) {
     let (address, place) = (daemon.address, &daemon.data_centre);
     log::info!("event=peer_known peer={address} data_centre={place}");
 }
 
 /// Splits news into parts that fit datagrams; of too many changes none is sent, and peers pull them.
-fn bulletins(reader: &Daemon, extent: Extent, base: u64, changes: Vec<Dated>) -> Vec<Bulletin> {
+fn bulletins(reader: &Daemon, extent: Extent, base: u64, changes: &[Dated]) -> Vec<Bulletin> {
     let whole = |base, changes| Bulletin {
         reader: reader.clone(),
         age: Duration::ZERO,
@@ -710,7 +710,7 @@
     }
     let mut parts = Vec::new();
     let mut base = base;
-    let mut rest = changes.as_slice();
+    let mut rest = changes;
     while rest.len() > CHANGES_PER_PART {
         let (part, later) = rest.split_at(CHANGES_PER_PART);
         let last = part.last().map_or(base, |d| d.revision);
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -236,7 +236,7 @@
     let service = service.ok_or_else(|| Fault::Refused(id.clone(), Cause::NoServer))?;
     edge.fleet().earn_retry(&service, &edge.platform);
     let (head, body) = req.into_parts();
-    let (body, held) = read_body(edge, body, &table.routing().limits, &id).await?;
+    let (body, guard) = read_body(edge, body, &table.routing().limits, &id).await?;
     let time = terms.patience.unwrap_or(route.timeout).min(route.timeout);
     let target = head.uri.path_and_query().cloned();
     let job = Job {
@@ -259,7 +259,7 @@
     let edge = Arc::clone(edge);
     tokio::spawn(async move {
         call::run(edge, job, tx).await;
-        drop(held);
+        drop(guard);
     });
     // The task sends a reply unless it panicked, and then the request may have run.
     rx.await.or_else(|_| {
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -316,8 +316,8 @@
 
     /// Takes a server's registration.
     pub fn put(&mut self, edge: &Edge, entry: &Entry) {
-        if let Some(key) = self.keys.get(&entry.id).copied() {
-            let known = self.servers.get_mut(&key).expect("keys name servers");
+        let key = self.keys.get(&entry.id).copied();
+        if let Some(known) = key.and_then(|k| self.servers.get_mut(&k)) {
             let same = known.entry.born == entry.born
                 && known.entry.address == entry.address
                 && known.entry.service == entry.service;
@@ -518,7 +518,7 @@
     /// Usual time of a route's work.
     pub fn work(&self, route: &Route) -> Duration {
         let known = self.work.get(&route.name).copied();
-        let work = known.unwrap_or_else(|| route.aim.as_secs_f32() * WORK_OF_AIM);
+        let work = known.unwrap_or(route.aim.as_secs_f32() * WORK_OF_AIM);
         Duration::from_secs_f32(work.max(0.001))
     }
 
--- a/cuminspreadd/src/logging.rs
+++ b/cuminspreadd/src/logging.rs
@@ -4,6 +4,7 @@
 //! them. Lines about failures have a budget of their own, so that a flood of ordinary lines can't
 //! push them out. Lines beyond a budget are dropped, and counted in the next line that is written.
 
+use std::fmt::Write as _;
 use std::io::Write as _;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -17,7 +18,7 @@
 /// Lines that wait for the console at most; about 300 KB.
 const QUEUE: usize = 1024;
 /// Ordinary lines a second; each costs about 10 µs of processor time.
-const ORDINARY_PER_S: f64 = 100.0;
+const ORDINARY_PER_S: f64 = 200.0;
 /// Lines about failures a second.
 const FAILURES_PER_S: f64 = 200.0;
 
@@ -130,10 +131,9 @@
         }
         let dropped = dropped();
         if dropped > told {
-            text.push_str(&format!(
-                "level=warn event=log_dropped lines={}\n",
-                dropped - told
-            ));
+            let lines = dropped - told;
+            // Writing to a string can't fail.
+            let _ = writeln!(text, "level=warn event=log_dropped lines={lines}");
             told = dropped;
         }
         if out
--- a/cuminspreadd/src/main.rs
+++ b/cuminspreadd/src/main.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use anyhow::Context as _;
 use clap::{Arg, ArgAction, Command, value_parser};
@@ -12,6 +13,9 @@
 use cuminspreadd::{edge, logging};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Pause between two looks at the settings file, which may change without a signal.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let path: &String = matches.get_one("settings").expect("a required argument");
@@ -83,12 +87,15 @@
     let mut interrupt = signal(SignalKind::interrupt()).context("step=signal")?;
     let mut hangup = signal(SignalKind::hangup()).context("step=signal")?;
     let running = edge::run::Running::start(settings, edge).await?;
+    let mut text = fs::read_to_string(path).unwrap_or_default();
     loop {
-        tokio::select! {
+        let asked = tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(path, &running),
-        }
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_PAUSE) => false,
+        };
+        reload(path, &mut text, asked, &running);
     }
     let whole = running.stop().await;
     logging::finish();
@@ -99,17 +106,28 @@
     })
 }
 
-/// Reads the settings again; a file with faults changes nothing.
-fn reload(path: &str, running: &edge::run::Running) {
-    let parsed = fs::read_to_string(path)
-        .map_err(anyhow::Error::from)
-        .and_then(|text| Ok(file::parse(path, &text)?));
-    match parsed {
+/// Reads the settings again if that was asked for or they changed; a file with faults changes
+/// nothing.
+fn reload(path: &str, text: &mut String, asked: bool, running: &edge::run::Running) {
+    let read = match fs::read_to_string(path) {
+        Ok(read) => read,
+        Err(e) => {
+            if asked {
+                log::error!("event=reload_refused cause={:?}", e.to_string());
+            }
+            return;
+        }
+    };
+    if !asked && read == *text {
+        return;
+    }
+    *text = read;
+    match file::parse(path, text) {
         Ok(Settings {
             edge: Some(edge), ..
         }) => running.reload(&edge),
         Ok(_) => log::error!("event=reload_refused cause=\"no [store] section\""),
-        Err(e) => log::error!("event=reload_refused cause={:?}", format!("{e:#}")),
+        Err(e) => log::error!("event=reload_refused cause={:?}", e.to_string()),
     }
 }
 
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -182,7 +182,7 @@
             ("bounds", "grace_s") => edge(s).grace = seconds(value)?,
             ("bounds", "retry_ratio") => edge(s).retry_ratio = fraction(value)?,
             ("bounds", "retry_slack") => {
-                edge(s).retry_slack = number(value, 0..=1_000_000u32)? as f32
+                edge(s).retry_slack = number(value, 0..=1_000_000u32)? as f32;
             }
             ("platform", "url") => s.platform = url(value)?,
             ("peers", "key") => s.peer_keys.insert(0, secret(value)?),
--- a/cuminspreadd/tests/edge/answers.rs
+++ b/cuminspreadd/tests/edge/answers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cuminspread_platform::standin::client::ClientRequest;
-use cuminspread_platform::standin::server::Behaviour;
+use cuminspread_platform::standin::server::{Behaviour, StandInServer};
 use cuminspread_platform::standin::store::RouteRow;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
@@ -252,7 +252,7 @@
         assert_eq!(answer.status, 504);
         assert!(took >= Duration::from_millis(case.least), "{took:?}");
         assert!(took < Duration::from_millis(case.least + 200), "{took:?}");
-        let given = site.servers.iter().flat_map(|s| s.runs());
+        let given = site.servers.iter().flat_map(StandInServer::runs);
         for run in given {
             let left = run.left_ms.unwrap();
             assert!(left <= case.least, "{left}");
--- a/cuminspreadd/tests/edge/program.rs
+++ b/cuminspreadd/tests/edge/program.rs
@@ -120,6 +120,8 @@
         caller::send(front, &req.text()).await.status == 200
     })
     .await;
+    let placed = line_with(&mut rx, "event=placed id=order-77").await;
+    assert!(placed.contains("slowness=1.00"), "{placed}");
     let line = line_with(&mut rx, "event=request id=order-77").await;
     for field in [
         "route=r-1",
@@ -134,6 +136,13 @@
     fs::write(&path, &changed).unwrap();
     signal(&child, "HUP");
     line_with(&mut rx, "event=reloaded seeds=1").await;
+    // Also without a signal.
+    fs::write(
+        &path,
+        changed.replace("127.0.0.1:9", "127.0.0.1:9, 127.0.0.2:9"),
+    )
+    .unwrap();
+    line_with(&mut rx, "event=reloaded seeds=2").await;
     fs::write(&path, changed.replace("grace_s = 6", "grace_s = six")).unwrap();
     signal(&child, "HUP");
     let refused = line_with(&mut rx, "event=reload_refused").await;
