Requests that wait are handed back before a planned stop ends

Ruled out: requests at servers (two were at work at the end, on sends of the allowed time). Change: from the moment idle connections close, requests that no server has are refused with a short Retry-After; and a server without a free slot is no good choice while waiting costs nothing.

--- a/cuminspread/src/coordination/placing.rs
+++ b/cuminspread/src/coordination/placing.rs
@@ -54,6 +54,8 @@
     pub max_avoid: Duration,
     /// Least factor on the time of a server that a second one has outrun.
     pub outrun: f32,
+    /// Factor on the score of a server without a free slot.
+    pub full: f32,
     /// Factor on the work of a server that has just started.
     pub cold: f32,
     /// Value of a late answer against one in time.
@@ -80,6 +82,7 @@
             avoid: Duration::from_millis(250),
             max_avoid: Duration::from_secs(2),
             outrun: 3.0,
+            full: 0.4,
             cold: 2.0,
             late: 0.1,
         }
@@ -383,6 +386,10 @@
         if self.is_avoided(need.now) {
             sound *= 0.2;
         }
+        if self.free(need.now, settings) <= 0 {
+            // What waits at a server can't be sent elsewhere any more.
+            sound *= settings.full;
+        }
         // An answer that is late anyway is worth little, and so is its way.
         let distance = if self.near {
             0.0
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -50,6 +50,8 @@
 const HEDGE_WORK: f32 = 1.2;
 /// Multiple of the usual work time that most work takes at most.
 const AIM_WORK: f32 = 1.3;
+/// Longest time between two looks at whether the process stops.
+const STOP_CHECK: Duration = Duration::from_millis(200);
 /// Part of the usual work time that must be left for a send to make sense.
 const LEAST_WORK: f32 = 0.6;
 
@@ -578,6 +580,9 @@
             let now = self.edge.now();
             let (wake_at, waiter) = {
                 let mut fleet = self.edge.fleet();
+                if self.edge.hands_back() {
+                    return Err(Cause::Stopping);
+                }
                 let work = fleet.work(&self.job.route);
                 let last = self.job.deadline - work.mul_f32(LEAST_WORK);
                 if now >= last {
@@ -596,12 +601,13 @@
                     note_waiting(self.job, queue.line.len());
                     continue;
                 };
-                let mut wake_at = last;
+                // A planned stop is noticed in time.
+                let mut wake_at = last.min(now + STOP_CHECK);
                 if queue.line.head(now) == Some(*ticket) {
                     if now >= queue.look_at {
                         return Ok(());
                     }
-                    wake_at = last.min(queue.look_at);
+                    wake_at = wake_at.min(queue.look_at);
                 }
                 (wake_at, Arc::clone(waiter))
             };
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -117,6 +117,7 @@
         self.control.leave();
         log::info!("event=stopping in_flight={}", edge.in_flight());
         sleep_until(began + STILL_OPEN).await;
+        edge.hand_back();
         self.phase.send_replace(Phase::Closed);
         let end = began + edge.platform.grace.saturating_sub(END_MARGIN);
         let whole = loop {
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -147,6 +147,7 @@
     earlier: Mutex<VecDeque<Arc<Routing>>>,
     fleet: Mutex<Fleet>,
     stopping: AtomicBool,
+    handing_back: AtomicBool,
     registry_known: AtomicBool,
     in_flight: AtomicUsize,
     buffered: AtomicUsize,
@@ -181,6 +182,7 @@
             earlier: Mutex::default(),
             fleet: Mutex::new(Fleet::new(seed)),
             stopping: AtomicBool::new(false),
+            handing_back: AtomicBool::new(false),
             registry_known: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             buffered: AtomicUsize::new(0),
@@ -271,6 +273,16 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Requests that no server has yet are handed back to their callers, since the process ends soon.
+    pub fn hands_back(&self) -> bool {
+        self.handing_back.load(Ordering::Acquire)
+    }
+
+    /// Begins to hand back requests that no server has yet.
+    pub fn hand_back(&self) {
+        self.handing_back.store(true, Ordering::Release);
+    }
+
     /// Requests that haven't ended.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
--- a/cuminspreadd/tests/edge/stop.rs
+++ b/cuminspreadd/tests/edge/stop.rs
@@ -86,3 +86,32 @@
     stop.await.unwrap();
     assert!(began.elapsed() < GRACE, "{:?}", began.elapsed());
 }
+
+#[tokio::test]
+async fn requests_that_wait_are_handed_back() {
+    let route = RouteRow {
+        idempotent: false,
+        timeout_s: 20.0,
+        aim_s: 10.0,
+        ..RouteRow::default()
+    };
+    let site = Site::new(1, route).await;
+    let daemon = site.daemon().await;
+    // All slots are taken, so that the request waits in the daemon.
+    site.servers[0].set_running(4);
+    let mut caller = Caller::connect(daemon.front()).await;
+    let req = ClientRequest {
+        deadline_ms: 18_000,
+        ..ClientRequest::default()
+    };
+    caller.write(req.text().as_bytes()).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let began = Instant::now();
+    let stop = tokio::spawn(daemon.stop());
+    let answer = caller.answer(false).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.field("retry-after").is_some());
+    assert!(began.elapsed() < Duration::from_millis(3500));
+    assert!(stop.await.unwrap());
+    assert_eq!(site.runs(), 0);
+}
