While others wait, no slot is spent on late answers or on servers that said nothing lately

Ruled out: lack of capacity (12 servers of 6 slots for 33 slots of work). Change: a report of slowness holds until it is too old to count; nothing is sent without a fresh report while others wait, nor a late request to a slow server; how much longer work takes at nearly full servers is learned; a request that would start at its latest start counts as late at once.

--- a/cuminspread/src/coordination/placing.rs
+++ b/cuminspread/src/coordination/placing.rs
@@ -54,6 +54,12 @@
     pub max_avoid: Duration,
     /// Least factor on the time of a server that a second one has outrun.
     pub outrun: f32,
+    /// Part of its slots from which on a server counts as nearly full.
+    pub nearly_full: f32,
+    /// Cost of a nearly full server for each multiple by which its work takes longer.
+    pub crowded: f32,
+    /// Slowness from which on a late request doesn't take a slot that others wait for.
+    pub too_slow: f32,
     /// Factor on the score of a server without a free slot.
     pub full: f32,
     /// Factor on the work of a server that has just started.
@@ -82,6 +88,9 @@
             avoid: Duration::from_millis(250),
             max_avoid: Duration::from_secs(2),
             outrun: 3.0,
+            nearly_full: 0.8,
+            crowded: 0.4,
+            too_slow: 2.0,
             full: 0.4,
             cold: 2.0,
             late: 0.1,
@@ -110,6 +119,8 @@
     expected: Duration,
     /// The server had a free slot, so the time tells its speed.
     direct: bool,
+    /// With this request the server was nearly full.
+    crowded: bool,
 }
 
 /// A belief that fades.
@@ -177,6 +188,46 @@
     pub time_left: Duration,
     /// Servers of this service don't tell their load.
     pub blind: bool,
+    /// How much longer work takes at a nearly full server of this service, as a multiple.
+    pub crowding: f32,
+    /// Other requests wait for a server of this service.
+    pub contended: bool,
+}
+
+/// Learns how much longer work takes at servers of a service that are nearly full.
+#[derive(Debug, Clone, Copy)]
+pub struct Crowding {
+    roomy: f32,
+    crowded: f32,
+}
+
+impl Default for Crowding {
+    fn default() -> Self {
+        Self {
+            roomy: 1.0,
+            crowded: 1.0,
+        }
+    }
+}
+
+impl Crowding {
+    /// Weight of one more sample.
+    const WEIGHT: f32 = 0.03;
+
+    /// Takes the time of an answer against what was expected.
+    fn note(&mut self, sample: f32, crowded: bool) {
+        let known = if crowded {
+            &mut self.crowded
+        } else {
+            &mut self.roomy
+        };
+        *known += (sample.clamp(0.3, 4.0) - *known) * Self::WEIGHT;
+    }
+
+    /// How much longer work takes at a nearly full server, at least 1.
+    pub fn factor(&self) -> f32 {
+        (self.crowded / self.roomy.max(0.1)).clamp(1.0, 4.0)
+    }
 }
 
 /// Next step of a placement.
@@ -307,6 +358,7 @@
             sent: need.now,
             expected,
             direct: self.free(need.now, settings) > 0,
+            crowded: self.is_crowded(need.now, settings),
         });
         self.unreported += 1;
     }
@@ -317,6 +369,7 @@
         now: Mono,
         ticket: u64,
         end: End,
+        crowding: &mut Crowding,
         settings: &PlacingSettings,
     ) -> Option<Duration> {
         let i = self.flights.iter().position(|f| f.ticket == ticket)?;
@@ -332,10 +385,15 @@
                 if !flight.direct || failed {
                     return None;
                 }
-                let ratio = took.as_secs_f32() / flight.expected.as_secs_f32().max(0.001);
+                let mut ratio = took.as_secs_f32() / flight.expected.as_secs_f32().max(0.001);
+                crowding.note(ratio, flight.crowded);
+                if flight.crowded {
+                    // What all nearly full servers share isn't this one's fault.
+                    ratio /= crowding.factor();
+                }
                 self.lag.note(now, half_life, ratio.clamp(0.3, 10.0), 0.3);
                 let lag = self.lag.read(now, half_life).max(1.0);
-                Some(took.mul_f32(1.0 / lag))
+                (!flight.crowded).then(|| took.mul_f32(1.0 / lag))
             }
             End::Refused => {
                 self.errors.note(now, half_life, 0.5, 0.2);
@@ -368,13 +426,19 @@
     pub fn score(&self, need: &Need, settings: &PlacingSettings) -> f32 {
         let total = self.expected(need, settings);
         let in_time = need.in_time(total);
-        let at_all = if total < need.time_left.as_secs_f32() {
+        // While others wait, a late request doesn't hold a slot for long.
+        let too_slow = need.contended && self.slowness(need.now, settings) > settings.too_slow;
+        let at_all = if !too_slow && total < need.time_left.as_secs_f32() {
             settings.late
         } else {
             0.0
         };
-        // Without a fresh report the server may be as slow as any.
-        let in_time = if need.blind || self.is_fresh(need.now, settings) {
+        // Without a fresh report the server may be as slow as any, and as full.
+        let reported = need.blind || self.is_fresh(need.now, settings);
+        if need.contended && !reported {
+            return -1.0;
+        }
+        let in_time = if reported {
             in_time
         } else {
             in_time * settings.trust
@@ -396,7 +460,11 @@
         } else {
             settings.far_cost * in_time.max(0.2)
         };
-        let crowd = 0.1 * self.crowd(need.now, settings);
+        let mut crowd = 0.1 * self.crowd(need.now, settings);
+        if self.is_crowded(need.now, settings) {
+            // The answer may still be in time, but others at that server get slower too.
+            crowd += settings.crowded * (need.crowding - 1.0);
+        }
         // Of servers that are all in time the faster one goes first.
         let slow = total / need.aim_left.as_secs_f32().max(0.001);
         let slow = settings.haste * slow.min(1.0) * in_time.max(settings.late);
@@ -412,6 +480,11 @@
     fn expected(&self, need: &Need, settings: &PlacingSettings) -> f32 {
         let work = need.work.as_secs_f32() * self.slowness(need.now, settings);
         let work = work * self.lag(need.now, settings).max(0.7);
+        let work = if self.is_crowded(need.now, settings) {
+            work * need.crowding
+        } else {
+            work
+        };
         let free = self.free(need.now, settings);
         let waits = if free > 0 {
             0.0
@@ -421,7 +494,7 @@
         (work * (1.0 + waits)).max(0.001)
     }
 
-    /// How long work takes, as a multiple of the usual; an old report counts for less.
+    /// How long work takes, as a multiple of the usual.
     fn slowness(&self, now: Mono, settings: &PlacingSettings) -> f32 {
         let cold = if now < self.warm_until {
             settings.cold
@@ -429,12 +502,9 @@
             1.0
         };
         match self.room {
-            Some((at, room)) => {
-                let trust = 1.0 - now.since(at).as_secs_f32() / settings.report_life.as_secs_f32();
-                let trust = trust.clamp(0.0, 1.0);
-                (1.0 + (room.slowness - 1.0) * trust) * cold
-            }
-            None => cold,
+            // A server that was slow a moment ago mostly still is.
+            Some((at, room)) if now.since(at) < settings.report_life => room.slowness * cold,
+            _ => cold,
         }
     }
 
@@ -450,6 +520,12 @@
         }
     }
 
+    /// With one more request it is nearly full.
+    fn is_crowded(&self, now: Mono, settings: &PlacingSettings) -> bool {
+        let taken = self.crowd(now, settings) + 1.0 / self.slots as f32;
+        taken > settings.nearly_full
+    }
+
     /// Part of its slots that is taken, from 0 to 1.
     fn crowd(&self, now: Mono, settings: &PlacingSettings) -> f32 {
         let free = self.free(now, settings).max(0) as f32;
--- a/cuminspread/tests/placing.rs
+++ b/cuminspread/tests/placing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cuminspread::coordination::placing::{
-    self, End, Need, PlacingSettings, Progress, Room, Standing, Step,
+    self, Crowding, End, Need, PlacingSettings, Progress, Room, Standing, Step,
 };
 use cuminspread::state::time::Mono;
 use rand::RngExt as _;
@@ -26,6 +26,8 @@
         aim_left: ms(500),
         time_left: ms(2000),
         blind: false,
+        crowding: 1.0,
+        contended: false,
     }
 }
 
@@ -336,7 +338,7 @@
         server.note_sent(1, &need(at(1000)), &settings);
         assert_eq!(server.in_flight(), 1);
         let end = at(1000 + case.took);
-        let work = server.note_end(end, 1, case.end, &settings);
+        let work = server.note_end(end, 1, case.end, &mut Crowding::default(), &settings);
         let work = work.map(|w| w.as_millis() as u64);
         assert_eq!(work, case.work, "{}", case.what);
         assert_eq!(server.is_avoided(end), case.avoided, "{}", case.what);
@@ -469,3 +471,106 @@
         );
     }
 }
+
+/// The load pattern of an overload that feeds itself: late requests on slow servers hold the slots
+/// that those in time would need.
+#[test]
+fn while_others_wait_no_slot_is_spent_on_late_answers() {
+    struct Case {
+        what: &'static str,
+        belief: Belief,
+        contended: bool,
+        aim_left: u64,
+        taken: bool,
+    }
+    let slow = Belief {
+        room: Some((0, 5.0)),
+        ..GOOD
+    };
+    let unknown = Belief { room: None, ..GOOD };
+    let cases = [
+        Case {
+            what: "late and nobody waits: a slow answer is better than none",
+            belief: slow,
+            contended: false,
+            aim_left: 0,
+            taken: true,
+        },
+        Case {
+            what: "late and others wait: a slow server's slot is left to them",
+            belief: slow,
+            contended: true,
+            aim_left: 0,
+            taken: false,
+        },
+        Case {
+            what: "late and others wait: a fast one's is taken, it is free again soon",
+            belief: GOOD,
+            contended: true,
+            aim_left: 0,
+            taken: true,
+        },
+        Case {
+            what: "others wait: a server that said nothing lately isn't run into",
+            belief: unknown,
+            contended: true,
+            aim_left: 400,
+            taken: false,
+        },
+    ];
+    let now = at(1000);
+    let settings = PlacingSettings::default();
+    for case in cases {
+        let server = standing(case.belief, now);
+        let need = Need {
+            contended: case.contended,
+            aim_left: ms(case.aim_left),
+            ..need(now)
+        };
+        let progress = Progress {
+            near_left: 0,
+            far_left: 0,
+            waited: ms(100),
+        };
+        let asked = [(0, &server)].into_iter();
+        let step = placing::decide(asked, &need, progress, &settings);
+        assert_eq!(step == Step::Send(0), case.taken, "{}", case.what);
+    }
+}
+
+/// Servers whose work takes longer from a certain load on are recognized by their answers.
+#[test]
+fn nearly_full_servers_that_slow_down_are_recognized() {
+    struct Case {
+        factor: f32,
+        learned: std::ops::Range<f32>,
+    }
+    let cases = [
+        Case {
+            factor: 1.0,
+            learned: 1.0..1.05,
+        },
+        Case {
+            factor: 1.7,
+            learned: 1.5..1.9,
+        },
+    ];
+    let settings = PlacingSettings::default();
+    for case in cases {
+        let mut crowding = Crowding::default();
+        let mut now = at(1000);
+        for i in 0..400 {
+            let running = i % 2;
+            let mut server = standing(GOOD, now);
+            server.note_room(now, room(running, 1.0), Some(true));
+            server.note_sent(1, &need(now), &settings);
+            // With two slots the second request fills the server.
+            let factor = if running == 1 { case.factor } else { 1.0 };
+            now = now + ms(200).mul_f32(factor);
+            let end = End::Answered { failed: false };
+            server.note_end(now, 1, end, &mut crowding, &settings);
+        }
+        let factor = crowding.factor();
+        assert!(case.learned.contains(&factor), "{}: {factor}", case.factor);
+    }
+}
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -50,6 +50,9 @@
 const HEDGE_WORK: f32 = 1.2;
 /// Multiple of the usual work time that most work takes at most.
 const AIM_WORK: f32 = 1.3;
+/// Part of the time until its latest start that a request that begins to wait may expect to wait and
+/// still count as in time.
+const LINE_PART: f32 = 0.7;
 /// Longest time between two looks at whether the process stops.
 const STOP_CHECK: Duration = Duration::from_millis(200);
 /// Part of the usual work time that must be left for a send to make sense.
@@ -520,13 +523,18 @@
             }
         };
         let (keys, allowed) = shortlist(edge, &from, &need, count);
-        let (ask, skip) = keys.split_at(allowed);
-        looks += ask.len() as u32;
-        if !ask.is_empty() {
-            look_at(edge, ask, &need).await;
+        if need.blind {
+            asked.extend(keys);
+            continue;
+        }
+        if allowed == 0 {
+            // Until there are questions again, answers to other requests tell of room.
+            turn.pause();
+            continue;
         }
-        asked.extend(ask);
-        asked.extend(skip);
+        looks += allowed as u32;
+        look_at(edge, &keys[..allowed], &need).await;
+        asked.extend(&keys[..allowed]);
     }
 }
 
@@ -597,6 +605,11 @@
                     if wait.is_some_and(|w| now + w > last) {
                         return Err(Cause::NoRoom);
                     }
+                    // If all waited until their latest start, half would be late in the end.
+                    let slack = self.claim.latest.since(now).mul_f32(LINE_PART);
+                    if wait.is_some_and(|w| w > slack) {
+                        self.claim.latest = now - Duration::from_micros(1);
+                    }
                     self.waiting = Some(queue.join(now, self.claim));
                     note_waiting(self.job, queue.line.len());
                     continue;
@@ -675,6 +688,8 @@
             aim_left: (job.arrived + job.route.aim).since(now),
             time_left: job.deadline.since(now),
             blind: fleet.is_blind(&job.service),
+            crowding: fleet.crowding(&job.service),
+            contended: fleet.queue(&job.service).line.len() > 1,
         };
         let mut keys = fleet.usable(now, &job.service);
         keys.retain(|k| !tried.contains(k));
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -8,7 +8,7 @@
 
 use cuminspread::coordination::catalog::Entry;
 use cuminspread::coordination::crash::{CrashSettings, Crashes};
-use cuminspread::coordination::placing::{End, Need, PlacingSettings, Room, Standing};
+use cuminspread::coordination::placing::{Crowding, End, Need, PlacingSettings, Room, Standing};
 use cuminspread::coordination::retry::Tokens;
 use cuminspread::coordination::shares::Shares;
 use cuminspread::coordination::waiting::{Claim, Line, Ticket};
@@ -77,6 +77,7 @@
     shares: HashMap<Name, Shares>,
     daemons: usize,
     lines: HashMap<Name, Queue>,
+    crowding: HashMap<Name, Crowding>,
     /// Services whose servers answered without telling their load.
     blind: HashSet<Name>,
     /// Number of this daemon in the choice of its own servers.
@@ -318,6 +319,7 @@
             shares: HashMap::new(),
             daemons: 1,
             lines: HashMap::new(),
+            crowding: HashMap::new(),
             blind: HashSet::new(),
             salt: seed,
             looks: Allowance::default(),
@@ -487,7 +489,13 @@
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
-        let work = server.standing.note_end(now, ticket, end, settings);
+        let crowding = self
+            .crowding
+            .entry(server.entry.service.clone())
+            .or_default();
+        let work = server
+            .standing
+            .note_end(now, ticket, end, crowding, settings);
         if let Some(work) = work {
             let known = self.work(route).as_secs_f32();
             let sample = work.as_secs_f32().clamp(known * 0.2, known * 3.0);
@@ -527,6 +535,11 @@
         taken
     }
 
+    /// How much longer work takes at nearly full servers of a service.
+    pub fn crowding(&self, service: &str) -> f32 {
+        self.crowding.get(service).map_or(1.0, Crowding::factor)
+    }
+
     /// Usual time of a route's work.
     pub fn work(&self, route: &Route) -> Duration {
         let known = self.work.get(&route.name).copied();
