--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod decide;
 pub mod demo;
 pub mod deployment;
+pub mod fault_soak;
 pub mod fronts;
 pub mod host;
 pub mod load;
--- a/bench/src/subcommand.rs
+++ b/bench/src/subcommand.rs
@@ -2,7 +2,7 @@
 
 use clap::{ArgMatches, Command};
 
-use crate::{config, decide, demo, path, policy, slopes, soak, together};
+use crate::{config, decide, demo, fault_soak, path, policy, slopes, soak, together};
 
 /// One subcommand.
 #[derive(Debug, Clone, Copy)]
@@ -17,6 +17,7 @@
 pub const ALL: &[Subcommand] = &[
     subcommand(demo::command, demo::run),
     subcommand(soak::command, soak::run),
+    subcommand(fault_soak::command, fault_soak::run),
     subcommand(path::command, path::run),
     subcommand(slopes::command, slopes::run),
     subcommand(config::command, config::run),
