--- a/cumin/src/request.rs
+++ b/cumin/src/request.rs
@@ -124,6 +124,10 @@
         ("refused", "no_server") => format!(
             "It was refused, and has not run: no server of {service} took work, or all failed"
         ),
+        ("refused", "no_room") if or_zero(end.field("sends")) != "0" => format!(
+            "It was refused, and has not run: the servers of {service} that it was sent to \
+             refused it, and it could not be sent again"
+        ),
         ("refused", "no_room") => {
             format!("It was refused, and has not run: no server of {service} had room in time")
         }
--- a/cumin/tests/request.rs
+++ b/cumin/tests/request.rs
@@ -9,6 +9,7 @@
 time_ms=15 level=info event=repeat id=a-1 cause=refused
 time_ms=40 level=info event=request id=a-1 route=r version=7 service=status server=i-2 near=true outcome=served status=200 detail=answer sends=2 runs=1 hedges=0 looks=4 waited_us=2000 took_us=30000
 time_ms=50 level=warn event=request id=a-10 route=r version=7 service=orders server= near=false outcome=refused status=503 detail=no_room sends=0 runs=0 hedges=0 looks=9 waited_us=0 took_us=450000
+time_ms=55 level=warn event=request id=a-13 route=r version=7 service=orders server=i-3 near=true outcome=refused status=503 detail=no_room sends=2 runs=0 hedges=0 looks=9 waited_us=0 took_us=45000
 time_ms=60 level=warn event=request id=a-11 route=r version=7 service=orders server=i-3 near=true outcome=failed status=504 detail=timeout sends=1 runs=1 hedges=0 looks=2 waited_us=900 took_us=2500000
 time_ms=70 level=info event=request id=a-12 outcome=no_route version=8
 ";
@@ -35,6 +36,12 @@
             cause: "has not run: no server of orders had room in time; 0 sends",
             found: true,
         },
+        Case {
+            id: "a-13",
+            lines: 1,
+            cause: "that it was sent to refused it, and it could not be sent again; 2 sends",
+            found: true,
+        },
         Case {
             id: "a-11",
             lines: 1,
