--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -8,36 +8,22 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use cuminspread::coordination::placing::{self, End, Need, Progress, Step};
+use cuminspread::coordination::placing::{End, Need};
 use cuminspread::coordination::refusal::{self, Cause};
-use cuminspread::coordination::waiting::{Claim, Ticket};
 use cuminspread::state::Name;
-use cuminspread::state::routing::Route;
-use cuminspread::state::time::Mono;
-use cuminspread::transport::upstream::Upstream;
-use cuminspread::transport::upstream::exchange::Exchange;
 use cuminspread_platform::headers::Marks;
 use futures_util::StreamExt as _;
 use futures_util::future::OptionFuture;
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
-use http::response::Parts;
-use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
 
-use super::exchange::{Outgoing, Sent, send};
-use super::look::{Looked, look};
-use super::state::{Edge, MOVED, Running, ServerKey};
+use super::exchange::{Sent, send};
+use super::job::{Job, Reply};
+use super::place::{Target, place};
+use super::state::{Edge, MOVED, ServerKey};
 
-/// Longest wait for the servers that were asked; near ones answer within 2 ms.
-const ANSWERS: Duration = Duration::from_millis(40);
-/// Longest wait for the others after the first answer.
-const OTHER_ANSWERS: Duration = Duration::from_millis(4);
-/// A question that is open for longer than this shows a server that is silent.
-const OPEN_QUESTION: Duration = Duration::from_millis(15);
-/// Time after which a service whose servers are all silent counts as having none.
-const SILENCE: Duration = Duration::from_millis(100);
 /// Sends of one request that may end with a proof that it has not run.
 const MAX_SENDS: u32 = 5;
 /// Time by which an answer may follow the end of the time that a server was given.
@@ -48,59 +34,6 @@
 const HEDGE_AFTER_LEAST: f32 = 1.35;
 /// Multiple of the usual work time that is kept for the second server.
 const HEDGE_WORK: f32 = 1.2;
-/// Multiple of the usual work time that most work takes at most.
-const AIM_WORK: f32 = 1.3;
-/// Part of the time until its latest start that a request that begins to wait may expect to wait and
-/// still count as in time.
-const LINE_PART: f32 = 0.7;
-/// Longest time between two looks at whether the process stops.
-const STOP_CHECK: Duration = Duration::from_millis(200);
-/// Part of the usual work time that must be left for a send to make sense.
-const LEAST_WORK: f32 = 0.6;
-
-/// A request that was read whole.
-#[derive(Debug)]
-pub struct Job {
-    /// The request.
-    pub out: Outgoing,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// Version of the configuration that gave the route.
-    pub version: u64,
-    /// Service that serves it.
-    pub service: Name,
-    /// Time of its arrival.
-    pub arrived: Mono,
-    /// Time by which its caller gets a final answer.
-    pub deadline: Mono,
-    /// Counts the request.
-    pub running: Running,
-}
-
-/// What a caller gets.
-#[derive(Debug)]
-pub enum Reply {
-    /// A server's whole answer.
-    Whole(Parts, Bytes),
-    /// A server's answer that is still arriving.
-    Large(Parts, Bytes, Exchange),
-    /// The request has not run, and won't.
-    Refused {
-        /// Why.
-        cause: Cause,
-        /// What happened last.
-        detail: &'static str,
-        /// When there may be room.
-        retry_after: Duration,
-    },
-    /// The request may have run.
-    Failed {
-        /// Status.
-        status: StatusCode,
-        /// What happened last.
-        detail: &'static str,
-    },
-}
 
 /// What a request has gone through.
 #[derive(Debug, Default)]
@@ -122,13 +55,6 @@
     report_age: Duration,
 }
 
-/// A server that was chosen.
-struct Target {
-    key: ServerKey,
-    upstream: Arc<Upstream>,
-    need: Need,
-}
-
 /// A send that has begun; its end is noted when it is dropped, unless that was done before.
 struct Flight<'a> {
     edge: &'a Edge,
@@ -462,296 +388,6 @@
     Reply::Failed { status, detail }
 }
 
-/// Chooses a server; also gives the number of servers that were asked.
-async fn place(edge: &Arc<Edge>, job: &Job, tried: Vec<ServerKey>) -> (Result<Target, Cause>, u32) {
-    let began = edge.now();
-    let settings = edge.placing();
-    let mut asked: Vec<ServerKey> = Vec::new();
-    let mut looks = 0;
-    let mut turn = Turn::new(edge, job);
-    loop {
-        if let Err(cause) = turn.wait().await {
-            return (Err(cause), looks);
-        }
-        let now = edge.now();
-        let left = Left::new(edge, job, &tried, &mut asked);
-        let need = left.need;
-        if looks > 0 && !left.alive {
-            return (Err(Cause::NoServer), looks);
-        }
-        let nobody = left.near.is_empty() && left.far.is_empty() && asked.is_empty();
-        if nobody && (left.silent == 0 || now.since(began) > SILENCE) {
-            return (Err(Cause::NoServer), looks);
-        }
-        let waited = if left.no_near {
-            settings.near_wait
-        } else {
-            now.since(began)
-        };
-        let progress = Progress {
-            near_left: left.near.len(),
-            far_left: left.far.len(),
-            waited,
-        };
-        let step = {
-            let fleet = edge.fleet();
-            placing::decide(fleet.standings(&asked), &need, progress, settings)
-        };
-        let (from, count) = match step {
-            Step::Send(key) => {
-                if let Some(server) = edge.fleet().server(key) {
-                    let upstream = Arc::clone(&server.upstream);
-                    return (
-                        Ok(Target {
-                            key,
-                            upstream,
-                            need,
-                        }),
-                        looks,
-                    );
-                }
-                asked.retain(|k| *k != key);
-                continue;
-            }
-            Step::LookNear if asked.is_empty() => (left.near, settings.first_look),
-            Step::LookNear => (left.near, settings.next_look),
-            Step::LookFar => (left.far, settings.next_look),
-            Step::Pause => {
-                turn.pause();
-                asked.clear();
-                continue;
-            }
-        };
-        let (keys, allowed) = shortlist(edge, &from, &need, count);
-        if need.blind {
-            asked.extend(keys);
-            continue;
-        }
-        if allowed == 0 {
-            // Until there are questions again, answers to other requests tell of room.
-            turn.pause();
-            continue;
-        }
-        looks += allowed as u32;
-        look_at(edge, &keys[..allowed], &need).await;
-        asked.extend(&keys[..allowed]);
-    }
-}
-
-/// Picks servers to ask; gives how many of them, from the first, may be asked now.
-fn shortlist(
-    edge: &Edge,
-    from: &[ServerKey],
-    need: &Need,
-    count: usize,
-) -> (Vec<ServerKey>, usize) {
-    let settings = edge.placing();
-    let mut fleet = edge.fleet();
-    let mut rng = fleet.rng.clone();
-    let standings = fleet.standings(from);
-    let keys = placing::shortlist(standings, need, settings, count, &mut rng);
-    fleet.rng = rng;
-    if need.blind {
-        return (keys, 0);
-    }
-    let allowed = fleet.take_looks(need.now, keys.len(), &edge.platform);
-    (keys, allowed)
-}
-
-/// Place of a request among those that wait for the same service.
-struct Turn<'a> {
-    edge: &'a Edge,
-    job: &'a Job,
-    claim: Claim,
-    waiting: Option<(Ticket, Arc<Notify>)>,
-}
-
-impl<'a> Turn<'a> {
-    fn new(edge: &'a Edge, job: &'a Job) -> Self {
-        let work = edge.fleet().work(&job.route);
-        let claim = Claim {
-            latest: job.arrived + job.route.aim - work.mul_f32(AIM_WORK),
-            priority: job.route.priority,
-            aim: job.route.aim,
-        };
-        Self {
-            edge,
-            job,
-            claim,
-            waiting: None,
-        }
-    }
-
-    /// Waits until no other request goes first; fails if that takes too long.
-    async fn wait(&mut self) -> Result<(), Cause> {
-        loop {
-            let now = self.edge.now();
-            let (wake_at, waiter) = {
-                let mut fleet = self.edge.fleet();
-                if self.edge.hands_back() {
-                    return Err(Cause::Stopping);
-                }
-                let work = fleet.work(&self.job.route);
-                let last = self.job.deadline - work.mul_f32(LEAST_WORK);
-                if now >= last {
-                    return Err(Cause::NoRoom);
-                }
-                let queue = fleet.queue(&self.job.service);
-                let Some((ticket, waiter)) = &self.waiting else {
-                    if !queue.line.is_behind(now, &self.claim) {
-                        return Ok(());
-                    }
-                    let wait = queue.line.expected_wait(now, &self.claim);
-                    if wait.is_some_and(|w| now + w > last) {
-                        return Err(Cause::NoRoom);
-                    }
-                    // If all waited until their latest start, half would be late in the end.
-                    let slack = self.claim.latest.since(now).mul_f32(LINE_PART);
-                    if wait.is_some_and(|w| w > slack) {
-                        self.claim.latest = now - Duration::from_micros(1);
-                    }
-                    self.waiting = Some(queue.join(now, self.claim));
-                    note_waiting(self.job, queue.line.len());
-                    continue;
-                };
-                // A planned stop is noticed in time.
-                let mut wake_at = last.min(now + STOP_CHECK);
-                if queue.line.head(now) == Some(*ticket) {
-                    if now >= queue.look_at {
-                        return Ok(());
-                    }
-                    wake_at = wake_at.min(queue.look_at);
-                }
-                (wake_at, Arc::clone(waiter))
-            };
-            tokio::select! {
-                () = waiter.notified() => {
-                    let mut fleet = self.edge.fleet();
-                    // A server has just reported room.
-                    fleet.queue(&self.job.service).look_at = Mono::default();
-                }
-                () = sleep_until(self.edge.instant(wake_at)) => {}
-            }
-        }
-    }
-
-    /// No server is good enough now; the request waits, and asks again after a pause.
-    fn pause(&mut self) {
-        let now = self.edge.now();
-        let mut fleet = self.edge.fleet();
-        let queue = fleet.queue(&self.job.service);
-        queue.look_at = now + self.edge.placing().pause;
-        if self.waiting.is_none() {
-            self.waiting = Some(queue.join(now, self.claim));
-            note_waiting(self.job, queue.line.len());
-        }
-    }
-}
-
-fn note_waiting(job: &Job, waiting: usize) {
-    let (id, service) = (&job.out.id, &job.service);
-    log::info!("event=waits id={id} service={service} waiting={waiting}");
-}
-
-impl Drop for Turn<'_> {
-    fn drop(&mut self) {
-        if let Some((ticket, _)) = self.waiting.take() {
-            let now = self.edge.now();
-            let mut fleet = self.edge.fleet();
-            let queue = fleet.queue(&self.job.service);
-            queue.leave(now, ticket, &self.claim);
-        }
-    }
-}
-
-/// What a placement may still ask.
-struct Left {
-    need: Need,
-    near: Vec<ServerKey>,
-    far: Vec<ServerKey>,
-    /// Servers that have been asked and don't answer.
-    silent: usize,
-    /// No server of the data centre takes this request.
-    no_near: bool,
-    /// Some server hasn't failed lately.
-    alive: bool,
-}
-
-impl Left {
-    /// Sorts the servers of a service; those with fresh reports count as asked.
-    fn new(edge: &Edge, job: &Job, tried: &[ServerKey], asked: &mut Vec<ServerKey>) -> Self {
-        let now = edge.now();
-        let mut fleet = edge.fleet();
-        let need = Need {
-            now,
-            work: fleet.work(&job.route),
-            aim_left: (job.arrived + job.route.aim).since(now),
-            time_left: job.deadline.since(now),
-            blind: fleet.is_blind(&job.service),
-            crowding: fleet.crowding(&job.service),
-            contended: fleet.queue(&job.service).line.len() > 1,
-        };
-        let mut keys = fleet.usable(now, &job.service);
-        keys.retain(|k| !tried.contains(k));
-        let mut left = Self {
-            need,
-            near: Vec::new(),
-            far: Vec::new(),
-            silent: 0,
-            no_near: true,
-            alive: false,
-        };
-        for key in keys {
-            let Some(server) = fleet.server(key) else {
-                continue;
-            };
-            let near = server.standing.near;
-            let alive = !server.standing.is_avoided(now);
-            left.alive |= alive;
-            left.no_near &= !near || !alive;
-            if asked.contains(&key) {
-                continue;
-            }
-            if server.standing.is_fresh(now, edge.placing()) {
-                asked.push(key);
-            } else if server.asked.is_some_and(|t| now.since(t) > OPEN_QUESTION) {
-                left.silent += 1;
-            } else if near {
-                left.near.push(key);
-            } else {
-                left.far.push(key);
-            }
-        }
-        left
-    }
-}
-
-/// Asks servers at once; returns when one is as good as any, soon after the first answer, or when
-/// all have answered.
-async fn look_at(edge: &Arc<Edge>, keys: &[ServerKey], need: &Need) {
-    let tasks = keys
-        .iter()
-        .map(|k| tokio::spawn(look(Arc::clone(edge), *k)));
-    let mut tasks: FuturesUnordered<_> = tasks.collect();
-    let mut until = Instant::now() + ANSWERS;
-    // Those that are later are noted when they answer.
-    while let Ok(Some(looked)) = timeout_at(until, tasks.next()).await {
-        if !matches!(looked, Ok(Looked::Answered)) {
-            continue;
-        }
-        until = until.min(Instant::now() + OTHER_ANSWERS);
-        let need = Need {
-            now: edge.now(),
-            ..*need
-        };
-        let fleet = edge.fleet();
-        let asked = fleet.standings(keys).map(|(_, s)| s);
-        if placing::is_settled(asked, &need, edge.placing()) {
-            return;
-        }
-    }
-}
-
 fn report(edge: &Edge, job: &Job, trail: &Trail, answer: Option<&Reply>) {
     let took = edge.now().since(job.arrived);
     let (outcome, status, detail) = match answer {
--- /dev/null
+++ b/cuminspreadd/src/edge/control/news.rs
@@ -0,0 +1,348 @@
+//! News between daemons: bulletins that are sent and received, and pulls of what is missing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cuminspread::coordination::catalog::Dated;
+use cuminspread::coordination::reader::Role;
+use cuminspread::protocol::bulletin::{
+    Bulletin, Daemon, Extent, NewRouting, Notice, Pull, Registry, Supply,
+};
+use cuminspread::state::routing::{Routing, RoutingDelta};
+use cuminspread::state::time::Mono;
+use tokio::time::sleep;
+
+use super::{Control, Knowledge, unit};
+
+/// Bulletins that repeat a change, since datagrams get lost.
+const REPEATS: usize = 3;
+/// Largest change of the configuration that goes into a datagram, in bytes.
+const MAX_DELTA: usize = 700;
+/// One pull in this number goes to the one that told the news, the others to near peers.
+const ASK_TELLER: usize = 4;
+/// Time after news at which its extent is told once more, so that who missed it pulls it.
+const ECHO: Duration = Duration::from_millis(200);
+/// Changes in one datagram; each is at most 90 bytes with ids of usual length.
+const CHANGES_PER_PART: usize = 12;
+/// Datagrams for one piece of news; more changes than these hold are pulled.
+const MAX_PARTS: usize = 3;
+/// Pause before a peer that doesn't have the news yet is asked again.
+const PULL_AGAIN: Duration = Duration::from_millis(40);
+/// Times that peers are asked for the same news.
+const PULL_TRIES: usize = 40;
+
+impl Control {
+    /// Hands on what this daemon has just read.
+    pub(super) fn publish(self: &Arc<Self>) {
+        let mut k = self.lock();
+        let extent = self.extent(&k);
+        let base = k.published.first().copied().unwrap_or_default();
+        let changes = k.catalog.since(base);
+        k.published.push(extent.revision);
+        if k.published.len() > REPEATS {
+            k.published.remove(0);
+        }
+        let near = k.mesh.near();
+        let relays = k.mesh.relays();
+        let (base, changes) = match changes {
+            Some(changes) => (base, changes),
+            None => (extent.revision, Vec::new()),
+        };
+        let reader = k.mesh.me().clone();
+        if k.published_version != extent.version {
+            k.version_before = std::mem::replace(&mut k.published_version, extent.version);
+        }
+        let delta = self.edge.delta_from(k.version_before);
+        drop(k);
+        let fits = |d: &RoutingDelta| postcard::to_stdvec(d).is_ok_and(|b| b.len() <= MAX_DELTA);
+        let delta = delta.filter(fits);
+        let is_news = !changes.is_empty() || delta.is_some();
+        let mut parts = bulletins(&reader, extent, base, &changes);
+        if let Some(delta) = delta {
+            // In a datagram of its own, which makes no one pull what the others bring.
+            let mut first = parts.remove(0);
+            let only = Bulletin {
+                changes: Vec::new(),
+                extent: Extent {
+                    revision: first.base,
+                    ..extent
+                },
+                routing: Some(delta),
+                ..first.clone()
+            };
+            first.routing = None;
+            parts.insert(0, first);
+            parts.insert(0, only);
+        }
+        for mut bulletin in parts {
+            self.send_bulletin(&near, &bulletin);
+            bulletin.relay = true;
+            self.send_bulletin(&relays, &bulletin);
+        }
+        if is_news {
+            tokio::spawn(Arc::clone(self).echo(extent));
+        }
+    }
+
+    /// Tells once more how far the news goes, through other relays.
+    async fn echo(self: Arc<Self>, extent: Extent) {
+        sleep(ECHO).await;
+        let mut k = self.lock();
+        let (near, relays) = (k.mesh.near(), k.mesh.relays());
+        let mut bulletin = Bulletin {
+            reader: k.mesh.me().clone(),
+            age: ECHO,
+            extent,
+            base: extent.revision,
+            changes: Vec::new(),
+            routing: None,
+            relay: false,
+        };
+        drop(k);
+        self.send_bulletin(&near, &bulletin);
+        bulletin.relay = true;
+        self.send_bulletin(&relays, &bulletin);
+    }
+
+    fn send_bulletin(&self, to: &[SocketAddr], bulletin: &Bulletin) {
+        let notice = Notice::Bulletin(Box::new(bulletin.clone()));
+        for peer in to {
+            if !self.gossip.send(*peer, &notice) {
+                log::debug!("event=bulletin_unsent peer={peer}");
+            }
+        }
+    }
+
+    pub(super) fn take_notice(self: &Arc<Self>, from: SocketAddr, notice: Notice) {
+        let now = self.edge.now();
+        match notice {
+            Notice::Hello(daemon) => {
+                let mut k = self.lock();
+                meet(&mut k, now, &daemon);
+                let peers = Notice::Peers(k.mesh.sample(now, &daemon.data_centre));
+                drop(k);
+                self.gossip.send(from, &peers);
+            }
+            Notice::Peers(sightings) => {
+                let mut k = self.lock();
+                let new = k.mesh.named(now, &sightings);
+                let knows_nothing = k.catalog.revision() == 0;
+                let near = k.mesh.near();
+                drop(k);
+                for daemon in &new {
+                    note_peer(daemon);
+                }
+                if knows_nothing {
+                    // A daemon that has just started doesn't wait for the next bulletin.
+                    let wanted = Extent {
+                        revision: 1,
+                        version: 1,
+                    };
+                    let first = near.first().copied().unwrap_or(from);
+                    self.start_pull(vec![first, from], wanted);
+                }
+            }
+            Notice::Bulletin(bulletin) => self.take_bulletin(from, &bulletin),
+            Notice::Leaving(daemon) => self.lock().mesh.left(&daemon),
+            Notice::Crashes(crashes) => {
+                let mut fleet = self.edge.fleet();
+                for crash in crashes {
+                    fleet.crashes.learn(now, crash.fingerprint);
+                }
+            }
+        }
+    }
+
+    fn take_bulletin(self: &Arc<Self>, from: SocketAddr, bulletin: &Bulletin) {
+        let now = self.edge.now();
+        let reader = bulletin.reader.address;
+        let mut k = self.lock();
+        meet(&mut k, now, &bulletin.reader);
+        let was = k.reader.role();
+        k.reader.heard(now, bulletin.reader.rank(), bulletin.age);
+        if was == Role::Reader && k.reader.role() == Role::Follower {
+            log::info!("event=leaves_reading_to reader={reader}");
+        }
+        let mut new = Vec::new();
+        let known = k.catalog.revision();
+        let follows = known > 0 && bulletin.base <= known;
+        if follows {
+            for dated in &bulletin.changes {
+                if k.catalog.apply(now, dated.clone()) {
+                    new.push(dated.clone());
+                }
+            }
+            k.catalog.complete(bulletin.extent.revision);
+        }
+        if let Some(delta) = bulletin.routing.clone() {
+            self.edge.put_delta_in_force(delta, "peer");
+        }
+        let behind = !follows && bulletin.extent.revision > known
+            || bulletin.extent.version > self.edge.version();
+        let near = if bulletin.relay {
+            k.mesh.near()
+        } else {
+            Vec::new()
+        };
+        drop(k);
+        if !new.is_empty() {
+            self.apply(&new, "peer", bulletin.age);
+        }
+        if !near.is_empty() {
+            let own = Bulletin {
+                relay: false,
+                ..bulletin.clone()
+            };
+            self.send_bulletin(&near, &own);
+        }
+        if behind {
+            self.start_pull(vec![from, reader], bulletin.extent);
+        }
+    }
+
+    fn start_pull(self: &Arc<Self>, peers: Vec<SocketAddr>, wanted: Extent) {
+        if !self.pulling.swap(true, Ordering::AcqRel) {
+            tokio::spawn(Arc::clone(self).pull(peers, wanted));
+        }
+    }
+
+    /// Asks peers until this daemon knows as much as they said.
+    ///
+    /// The one that told the news could not serve a whole data centre at once, so mostly near peers
+    /// are asked, which have the news soon.
+    async fn pull(self: Arc<Self>, told_by: Vec<SocketAddr>, wanted: Extent) {
+        for i in 0..PULL_TRIES {
+            let have = self.extent(&self.lock());
+            if have.revision >= wanted.revision && have.version >= wanted.version {
+                break;
+            }
+            let helper = self.lock().mesh.helper();
+            let teller = told_by[i / ASK_TELLER % told_by.len()];
+            let peer = if i % ASK_TELLER == 0 {
+                teller
+            } else {
+                helper.unwrap_or(teller)
+            };
+            match self.gossip.pull(peer, self.want(have)).await {
+                Ok(supply) => self.take_supply(peer, supply),
+                Err(e) => log::info!("event=pull_failed peer={peer} cause=\"{e}\""),
+            }
+            let have = self.extent(&self.lock());
+            if have.revision < wanted.revision || have.version < wanted.version {
+                let spread = unit(self.edge.now().0 ^ self.edge.started_ms);
+                sleep(PULL_AGAIN.mul_f64(0.5 + spread)).await;
+            }
+        }
+        self.pulling.store(false, Ordering::Release);
+    }
+
+    fn want(&self, have: Extent) -> Pull {
+        Pull {
+            have,
+            data_centre: self.edge.settings.data_centre.clone(),
+        }
+    }
+
+    fn take_supply(&self, peer: SocketAddr, supply: Supply) {
+        let now = self.edge.now();
+        if supply.busy {
+            return;
+        }
+        match supply.routing {
+            Some(NewRouting::Whole(routing)) => {
+                self.edge.put_in_force(routing, "peer");
+            }
+            Some(NewRouting::Delta(delta)) => {
+                self.edge.put_delta_in_force(delta, "peer");
+            }
+            None => {}
+        }
+        let mut k = self.lock();
+        k.mesh.named(now, &supply.peers);
+        let mut new = Vec::new();
+        match supply.registry {
+            Some(Registry::Copy(copy)) => {
+                let lapsed = k.reader.is_outage(now);
+                new = k.catalog.reconcile(now, supply.revision, copy, lapsed);
+            }
+            Some(Registry::Changes(changes)) => {
+                let changes = changes.into_iter();
+                new.extend(changes.filter(|d| k.catalog.apply(now, d.clone())));
+                k.catalog.complete(supply.revision);
+            }
+            None => {}
+        }
+        drop(k);
+        if new.is_empty() {
+            return;
+        }
+        log::info!("event=pulled peer={peer} changes={}", new.len());
+        self.apply(&new, "peer", Duration::ZERO);
+    }
+
+    pub(super) fn supply(&self, pull: &Pull) -> Supply {
+        let now = self.edge.now();
+        let mut k = self.lock();
+        let routing: &Arc<Routing> = &Arc::clone(self.edge.table().routing());
+        let newer = routing.version > pull.have.version;
+        let revision = k.catalog.revision();
+        let registry = (revision > pull.have.revision).then(|| {
+            let changes = k.catalog.since(pull.have.revision);
+            let copy = || Registry::Copy(k.catalog.copy());
+            changes.map_or_else(copy, Registry::Changes)
+        });
+        Supply {
+            routing: newer.then(|| {
+                let delta = self.edge.delta_from(pull.have.version);
+                let whole = || NewRouting::Whole(Arc::clone(routing));
+                delta.map_or_else(whole, NewRouting::Delta)
+            }),
+            registry,
+            revision,
+            busy: false,
+            peers: k.mesh.sample(now, &pull.data_centre),
+        }
+    }
+}
+
+fn meet(k: &mut Knowledge, now: Mono, daemon: &Daemon) {
+    if k.mesh.heard(now, daemon) {
+        note_peer(daemon);
+    }
+}
+
+fn note_peer(daemon: &Daemon) {
+    let (address, place) = (daemon.address, &daemon.data_centre);
+    log::info!("event=peer_known peer={address} data_centre={place}");
+}
+
+/// Splits news into parts that fit datagrams; of too many changes none is sent, and peers pull them.
+fn bulletins(reader: &Daemon, extent: Extent, base: u64, changes: &[Dated]) -> Vec<Bulletin> {
+    let whole = |base, changes| Bulletin {
+        reader: reader.clone(),
+        age: Duration::ZERO,
+        extent,
+        base,
+        changes,
+        routing: None,
+        relay: false,
+    };
+    if changes.len() > CHANGES_PER_PART * MAX_PARTS {
+        return vec![whole(extent.revision, Vec::new())];
+    }
+    let mut parts = Vec::new();
+    let mut base = base;
+    let mut rest = changes;
+    while rest.len() > CHANGES_PER_PART {
+        let (part, later) = rest.split_at(CHANGES_PER_PART);
+        let last = part.last().map_or(base, |d| d.revision);
+        let mut bulletin = whole(base, part.to_vec());
+        bulletin.extent.revision = last;
+        parts.push(bulletin);
+        (base, rest) = (last, later);
+    }
+    parts.push(whole(base, rest.to_vec()));
+    parts
+}
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -32,8 +32,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use super::call::{self, Job, Reply};
+use super::call;
 use super::exchange::{Outgoing, forwarded};
+use super::job::{Job, Reply};
 use super::state::Edge;
 use crate::framing::{Beginning, Watched};
 use crate::headers;
--- /dev/null
+++ b/cuminspreadd/src/edge/job.rs
@@ -0,0 +1,60 @@
+//! A request on its way through the daemon, and what its caller gets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminspread::coordination::refusal::Cause;
+use cuminspread::state::Name;
+use cuminspread::state::routing::Route;
+use cuminspread::state::time::Mono;
+use cuminspread::transport::upstream::exchange::Exchange;
+use http::StatusCode;
+use http::response::Parts;
+
+use super::exchange::Outgoing;
+use super::state::Running;
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct Job {
+    /// The request.
+    pub out: Outgoing,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Version of the configuration that gave the route.
+    pub version: u64,
+    /// Service that serves it.
+    pub service: Name,
+    /// Time of its arrival.
+    pub arrived: Mono,
+    /// Time by which its caller gets a final answer.
+    pub deadline: Mono,
+    /// Counts the request.
+    pub running: Running,
+}
+
+/// What a caller gets.
+#[derive(Debug)]
+pub enum Reply {
+    /// A server's whole answer.
+    Whole(Parts, Bytes),
+    /// A server's answer that is still arriving.
+    Large(Parts, Bytes, Exchange),
+    /// The request has not run, and won't.
+    Refused {
+        /// Why.
+        cause: Cause,
+        /// What happened last.
+        detail: &'static str,
+        /// When there may be room.
+        retry_after: Duration,
+    },
+    /// The request may have run.
+    Failed {
+        /// Status.
+        status: StatusCode,
+        /// What happened last.
+        detail: &'static str,
+    },
+}
