--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -390,20 +390,21 @@
 
 fn report(edge: &Edge, job: &Job, trail: &Trail, answer: Option<&Reply>) {
     let took = edge.now().since(job.arrived);
-    let (outcome, status, detail) = match answer {
+    let (outcome, status, detail, last) = match answer {
         Some(Reply::Whole(head, _) | Reply::Large(head, ..)) => {
             let outcome = if head.status.is_success() {
                 "served"
             } else {
                 "passed_on"
             };
-            (outcome, head.status, "answer")
+            (outcome, head.status, "answer", "answer")
         }
-        Some(Reply::Refused { cause, .. }) => {
-            ("refused", StatusCode::SERVICE_UNAVAILABLE, cause.label())
+        Some(Reply::Refused { cause, detail, .. }) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            ("refused", status, cause.label(), *detail)
         }
-        Some(Reply::Failed { status, detail }) => ("failed", *status, *detail),
-        None => ("caller_left", StatusCode::OK, "caller_left"),
+        Some(Reply::Failed { status, detail }) => ("failed", *status, *detail, *detail),
+        None => ("caller_left", StatusCode::OK, "caller_left", "caller_left"),
     };
     edge.metrics.count_request(&job.service, outcome, detail);
     edge.metrics.observe(&job.service, took);
@@ -413,9 +414,9 @@
     };
     log::log!(
         level,
-        "event=request id={} route={} version={} service={} server={} near={} outcome={outcome} status={} \
-         detail={detail} sends={} runs={} hedges={} looks={} waited_us={} took_us={} slowness={:.2} \
-         report_age_us={}",
+        "event=request id={} route={} version={} service={} server={} near={} outcome={outcome} \
+         status={} detail={detail} last={last} sends={} runs={} hedges={} looks={} waited_us={} \
+         took_us={} slowness={:.2} report_age_us={}",
         job.out.id,
         job.route.name,
         job.version,
