--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -74,6 +74,16 @@
     tick_due: Mono,
 }
 
+/// A supply, as it is sent.
+#[derive(Debug)]
+struct Encoded {
+    /// What its puller had.
+    have: Extent,
+    /// What it leads to.
+    then: Extent,
+    bytes: Arc<[u8]>,
+}
+
 /// Knowledge of one daemon and its links.
 #[derive(Debug)]
 pub struct Control {
@@ -87,8 +97,8 @@
     serving: AtomicUsize,
     /// A peer has told that it has more.
     told: Notify,
-    /// Last supply, encoded, with what its puller had and what it leads to.
-    encoded: Mutex<Option<(Extent, Extent, Arc<[u8]>)>>,
+    /// Last supply.
+    encoded: Mutex<Option<Encoded>>,
 }
 
 impl Control {
--- a/cuminspreadd/src/edge/control/news.rs
+++ b/cuminspreadd/src/edge/control/news.rs
@@ -16,7 +16,7 @@
 use cuminspread::transport::gossip;
 use tokio::time::{sleep, timeout};
 
-use super::{Control, Knowledge, unit};
+use super::{Control, Encoded, Knowledge, unit};
 
 /// Bulletins that repeat a change, since datagrams get lost.
 const REPEATS: usize = 3;
@@ -347,16 +347,18 @@
         let now = self.extent(&self.lock());
         {
             let encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
-            if let Some((have, then, bytes)) = encoded.as_ref()
-                && *have == pull.have
-                && *then == now
-            {
-                return Ok(Arc::clone(bytes));
+            let same = |e: &&Encoded| e.have == pull.have && e.then == now;
+            if let Some(known) = encoded.as_ref().filter(same) {
+                return Ok(Arc::clone(&known.bytes));
             }
         }
         let bytes = gossip::encode(&self.supply(pull))?;
         let mut encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
-        *encoded = Some((pull.have, now, Arc::clone(&bytes)));
+        *encoded = Some(Encoded {
+            have: pull.have,
+            then: now,
+            bytes: Arc::clone(&bytes),
+        });
         Ok(bytes)
     }
 
