--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -181,16 +181,14 @@
             ("peers", "first_start") => edge(s).first_start = flag(value)?,
             ("bounds", "grace_s") => edge(s).grace = seconds(value)?,
             ("bounds", "retry_ratio") => edge(s).retry_ratio = fraction(value)?,
-            ("bounds", "retry_slack") => {
-                edge(s).retry_slack = number(value, 0..=1_000_000u32)? as f32;
-            }
+            ("bounds", "retry_slack") => edge(s).retry_slack = amount(value)?,
             ("platform", "url") => s.platform = url(value)?,
             ("peers", "key") => s.peer_keys.insert(0, secret(value)?),
             ("peers", "previous_key") => s.peer_keys.push(secret(value)?),
             ("peers", "lease_ms") => s.leases.lease = duration(value)?,
             ("peers", "renew_ms") => s.leases.renew = duration(value)?,
             ("peers", "skew_ms") => s.leases.skew = duration(value)?,
-            ("bounds", "looks_per_s") => edge(s).looks_per_s = number(value, 1..=10_000u32)? as f32,
+            ("bounds", "looks_per_s") => edge(s).looks_per_s = amount(value)?,
             ("callers", _) => return self.set_callers(key, value),
             ("servers", _) => return self.set_servers(key, value),
             ("traces", "otlp") => s.traces.otlp = url(value)?,
@@ -360,6 +358,11 @@
     parsed.ok_or_else(|| format!("{value:?} isn't allowed; write a number from 0 to 1"))
 }
 
+fn amount(value: &str) -> Result<f32, String> {
+    let parsed = value.parse().ok().filter(|f| (0.0..=1e6).contains(f));
+    parsed.ok_or_else(|| format!("{value:?} isn't allowed; write a number from 0 to 1000000"))
+}
+
 fn flag(value: &str) -> Result<bool, String> {
     let parsed = value.parse().ok();
     parsed.ok_or_else(|| format!("{value:?} isn't allowed; write true or false"))
