--- a/cuminspreadd/src/daemon.rs
+++ b/cuminspreadd/src/daemon.rs
@@ -216,7 +216,11 @@
     RandomState::new().build_hasher().finish()
 }
 
-async fn bind(what: &str, address: SocketAddr) -> anyhow::Result<(TcpListener, SocketAddr)> {
+/// Binds a listener; errors name it.
+pub(crate) async fn bind(
+    what: &str,
+    address: SocketAddr,
+) -> anyhow::Result<(TcpListener, SocketAddr)> {
     let step = || format!("step=bind_{what} peer={address}");
     let listener = TcpListener::bind(address).await.with_context(step)?;
     let bound = listener.local_addr().with_context(step)?;
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context as _;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -15,6 +13,7 @@
 use super::ingress::{self, Phase};
 use super::settings::EdgeSettings;
 use super::state::Edge;
+use crate::daemon::bind;
 use crate::settings::Settings;
 
 /// Time from a stop until idle connections close: the platform asks twice, a second apart, before it
@@ -143,13 +142,6 @@
     }
 }
 
-async fn bind(what: &str, address: SocketAddr) -> anyhow::Result<(TcpListener, SocketAddr)> {
-    let step = || format!("step=bind_{what} peer={address}");
-    let listener = TcpListener::bind(address).await.with_context(step)?;
-    let bound = listener.local_addr().with_context(step)?;
-    Ok((listener, bound))
-}
-
 async fn sweep(edge: Arc<Edge>) {
     loop {
         sleep(SWEEP).await;
--- a/cuminspreadd/src/front.rs
+++ b/cuminspreadd/src/front.rs
@@ -14,6 +14,7 @@
 use cuminspread::coordination::event::Call;
 use cuminspread::protocol::claim::OperationKey;
 use cuminspread::protocol::header::{self as cumin, OUTCOME, Outcome};
+use cuminspread::state::routing::without_port;
 use cuminspread::state::table::Match;
 use futures_util::Stream;
 use http::header::{CONNECTION, HOST, TRANSFER_ENCODING, VIA};
@@ -38,7 +39,7 @@
 use crate::headers;
 use crate::request::{
     Accepted, Bounds, Incoming, RETRY_AFTER, check_head, collect, digest_of, in_origin_form,
-    request_fault, without_port,
+    request_fault,
 };
 use crate::trace_context::TraceContext;
 
--- a/cuminspreadd/src/request.rs
+++ b/cuminspreadd/src/request.rs
@@ -166,14 +166,6 @@
     }
 }
 
-/// Host without its port; an IPv6 address keeps its brackets.
-pub(crate) fn without_port(host: &str) -> &str {
-    match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
-        _ => host,
-    }
-}
-
 pub(crate) fn digest_of(req: &Incoming, body: &Bytes) -> Digest {
     let method = req.method.as_str();
     let target = req.uri.path_and_query().map_or("", |t| t.as_str());
