--- a/cuminspread/src/protocol/bulletin.rs
+++ b/cuminspread/src/protocol/bulletin.rs
@@ -83,16 +83,6 @@
     pub relay: bool,
 }
 
-/// A request that crashed servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Crash {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Servers that it has crashed, as far as the sender knows.
-    pub count: u32,
-}
-
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -105,8 +95,6 @@
     Bulletin(Box<Bulletin>),
     /// The sender stops.
     Leaving(Daemon),
-    /// Requests that crashed servers.
-    Crashes(Vec<Crash>),
 }
 
 /// Asks for what is beyond the own extent.
--- a/cuminspreadd/src/edge/control/news.rs
+++ b/cuminspreadd/src/edge/control/news.rs
@@ -156,12 +156,6 @@
             }
             Notice::Bulletin(bulletin) => self.take_bulletin(from, &bulletin),
             Notice::Leaving(daemon) => self.lock().mesh.left(&daemon),
-            Notice::Crashes(crashes) => {
-                let mut fleet = self.edge.fleet();
-                for crash in crashes {
-                    fleet.crashes.learn(now, crash.fingerprint);
-                }
-            }
         }
     }
 
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use cuminspread::coordination::catalog::Entry;
-use cuminspread::coordination::crash::{CrashSettings, Crashes};
 use cuminspread::coordination::placing::{Crowding, End, Need, PlacingSettings, Room, Standing};
 use cuminspread::coordination::retry::Tokens;
 use cuminspread::coordination::shares::Shares;
@@ -85,8 +84,6 @@
     looks: Allowance,
     /// Random choices.
     pub rng: Pcg32,
-    /// Requests that crash servers.
-    pub crashes: Crashes,
 }
 
 /// Requests that wait for a server of one service, and what wakes them.
@@ -324,7 +321,6 @@
             salt: seed,
             looks: Allowance::default(),
             rng: Pcg32::new(seed, 3),
-            crashes: Crashes::new(CrashSettings::default()),
         }
     }
 
