--- a/bench/src/decide.rs
+++ b/bench/src/decide.rs
@@ -13,9 +13,10 @@
 use std::time::Instant;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use cuminspread::coordination::choice::{ChoiceSettings, Chooser};
+use cuminspread::coordination::choice::Chooser;
 use cuminspread::coordination::dispatch::{DispatchSettings, Dispatcher};
 use cuminspread::coordination::event::{Attempt, Call, CallAction, CallEvent, CallId, Ending};
+use cuminspread::coordination::policy::ChoiceSettings;
 use cuminspread::coordination::pool::Pool;
 use cuminspread::coordination::probe::Place;
 use cuminspread::coordination::retry::Tokens;
--- a/bench/src/operation.rs
+++ b/bench/src/operation.rs
@@ -121,7 +121,7 @@
         }
     }
 
-    /// A key ties a sending to the earlier ones; without it, only the sending itself is meant.
+    /// An order is sent again only after a proof, so its earlier sendings count, too.
     fn broken_by(&self, sending: &Sending, starts: &[Start]) -> Option<Promise> {
         let number = sending.number;
         let meant = |s: &Start| {
--- a/bench/src/policy.rs
+++ b/bench/src/policy.rs
@@ -17,8 +17,8 @@
 
 use anyhow::{Context, bail};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use cuminspread::coordination::choice::{ChoiceSettings, Policy};
 use cuminspread::coordination::dispatch::DispatchSettings;
+use cuminspread::coordination::policy::{ChoiceSettings, Policy};
 use cuminspread::coordination::retry::RetrySettings;
 use serde::Serialize;
 
--- a/bench/src/policy/trial.rs
+++ b/bench/src/policy/trial.rs
@@ -1,8 +1,8 @@
 //! Changed settings of the default policy, for trials on the same runs.
 
 use anyhow::{Context, bail};
-use cuminspread::coordination::choice::Policy;
 use cuminspread::coordination::dispatch::DispatchSettings;
+use cuminspread::coordination::policy::Policy;
 
 /// Settings to change, by name.
 #[derive(Debug, Clone, Default)]
--- a/cuminspread/src/coordination/dispatch.rs
+++ b/cuminspread/src/coordination/dispatch.rs
@@ -20,10 +20,10 @@
 use rand_pcg::Pcg32;
 
 use crate::coordination::attempt::Running;
-use crate::coordination::choice::ChoiceSettings;
 use crate::coordination::crash::{CrashSettings, Crashes};
 use crate::coordination::event::{CallAction, CallEvent, CallId, ServerId, Verdict};
 use crate::coordination::limits::{CouncilLoad, LimitSettings};
+use crate::coordination::policy::ChoiceSettings;
 use crate::coordination::pool::Pool;
 use crate::coordination::probe::{Pacer, Place, ProbeSettings};
 use crate::coordination::retry::{RetrySettings, Tokens};
--- a/cuminspread/src/coordination/event.rs
+++ b/cuminspread/src/coordination/event.rs
@@ -5,10 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::protocol::claim::{OperationKey, StoredAnswer};
 use crate::protocol::message::Message;
 use crate::state::Name;
-use crate::state::council::{CouncilConfig, Digest, ServiceConfig, Version};
+use crate::state::council::{CouncilConfig, ServiceConfig, Version};
 use crate::state::fleet::FleetList;
 use crate::state::folder::Fault;
 pub use crate::state::folder::{Folder, FolderFile};
@@ -84,7 +83,7 @@
         /// Number of daemons in the published list, including those that may have left it lately.
         daemons: u32,
     },
-    /// A call came in; for a keyed one, its claim is granted.
+    /// A call came in.
     Arrived(Call),
     /// The status line and headers of an answer came.
     Head {
@@ -250,33 +249,6 @@
     TellCrashing(u64),
 }
 
-/// Final state of a dispatched operation.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub enum Settled {
-    /// It ran; the answer, if it is small enough to keep.
-    Ran(Option<Arc<StoredAnswer>>),
-    /// Proven not to have started; the key may be claimed again.
-    NotRun,
-    /// Nothing is proven.
-    Unknown,
-}
-
-/// Decision on a claim.
-#[derive(Debug, Clone, PartialEq)]
-pub enum ClaimDecision {
-    /// Dispatch the call; then report [`Event::Settled`].
-    Granted,
-    /// The operation ran before; its answer, if it was kept.
-    Ran(Option<Arc<StoredAnswer>>),
-    /// The operation may have run before, or nobody can tell now.
-    Unknown(&'static str),
-    /// The key was used with another request.
-    OtherRequest,
-    /// The key's time of birth is outside of the accepted window.
-    BadBirth,
-}
-
 /// What a daemon's peer state machine is told.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
@@ -304,24 +276,6 @@
     FleetUnchanged,
     /// A read of the platform's list of VMs failed or timed out.
     FleetFailed,
-    /// A keyed call wants to run.
-    Claim {
-        /// Names the claim in [`Action::Decided`].
-        ticket: u64,
-        /// Operation.
-        key: OperationKey,
-        /// Digest of method, path and body.
-        request: Digest,
-        /// Time by which a decision is needed.
-        deadline: Mono,
-    },
-    /// A granted operation has come to its end.
-    Settled {
-        /// Operation.
-        key: OperationKey,
-        /// Its final state.
-        settled: Settled,
-    },
     /// This daemon found a server leaving.
     ServerLeaving {
         /// Council.
@@ -333,7 +287,7 @@
     },
     /// This daemon found requests of this fingerprint crashing servers.
     Crashing(u64),
-    /// The daemon begins a planned stop: hand over, then [`Action::Stopped`].
+    /// The daemon stops as planned: tell the peers, then [`Action::Stopped`].
     Stop,
 }
 
@@ -359,13 +313,6 @@
         /// Last revision read.
         after: u64,
     },
-    /// Decision on a claim.
-    Decided {
-        /// Ticket of the claim.
-        ticket: u64,
-        /// Decision.
-        decision: ClaimDecision,
-    },
     /// Put a council's configuration in force.
     InForce(Arc<CouncilConfig>),
     /// Tell operators that a council's newest files are refused, and the last good ones stay in
@@ -398,6 +345,6 @@
     },
     /// A peer found requests of this fingerprint crashing servers.
     Crashing(u64),
-    /// The hand-over of a planned stop is done.
+    /// The peers were told of the planned stop.
     Stopped,
 }
--- a/cuminspread/src/coordination/membership.rs
+++ b/cuminspread/src/coordination/membership.rs
@@ -3,10 +3,9 @@
 //! The published list says who takes part; it lags. Liveness comes from any message of a peer, and
 //! from pings: one VM after the other is pinged, directly and, without an answer, through others.
 //! Suspicion spreads by gossip on pings, and any later sign of life ends it. Liveness never decides
-//! about ownership; it only chooses whom to talk to.
+//! about an outcome; it only chooses whom to talk to.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use rand::seq::SliceRandom;
@@ -14,15 +13,12 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::coordination::event::Action;
-use crate::protocol::lease::{LeaseMessage, ListMark, Liveness, MemberUpdate};
+use crate::protocol::member::{ListMark, Liveness, MemberMessage, MemberUpdate};
 use crate::protocol::message::Message;
 use crate::state::Name;
-use crate::state::fleet::{FleetList, Vm};
+use crate::state::fleet::FleetList;
 use crate::state::time::Mono;
 
-/// Most voters of a cell.
-pub const MAX_VOTERS: usize = 9;
-
 /// Settings of membership.
 #[derive(Debug, Clone)]
 pub struct MemberSettings {
@@ -32,8 +28,6 @@
     pub indirect: Duration,
     /// VMs asked to ping for this one.
     pub helpers: usize,
-    /// Time for which a VM that vanished from the list still counts as a possible claimant.
-    pub remember: Duration,
     /// Time after which a newcomer takes its place, and a smaller list counts.
     pub place_lag: Duration,
     /// Time between two repetitions of a place whose list was confirmed meanwhile.
@@ -52,7 +46,6 @@
             ping: Duration::from_secs(1),
             indirect: Duration::from_millis(400),
             helpers: 2,
-            remember: Duration::from_secs(600),
             place_lag: Duration::from_secs(20),
             place_repeat: Duration::from_secs(10),
             spread_peers: 8,
@@ -90,6 +83,8 @@
 const UPDATES_PER_MESSAGE: usize = 4;
 const MAX_UPDATES: usize = 64;
 const MAX_RELAYS: usize = 32;
+/// Peers that are told of a planned stop at once; gossip reaches the others.
+const TOLD_OF_STOP: usize = 9;
 const START_PINGS: u32 = 12;
 const START_PING: Duration = Duration::from_millis(100);
 const WANT_LIST_PAUSE: Duration = Duration::from_millis(300);
@@ -101,15 +96,10 @@
 pub struct Members {
     settings: MemberSettings,
     name: Name,
-    data_centre: Name,
     incarnation: u64,
     list: FleetList,
-    seats: Vec<Vec<Name>>,
-    removed: BTreeMap<Name, Mono>,
-    epoch_since: Mono,
-    left: BTreeMap<Name, Mono>,
-    /// VMs whose earlier incarnation ended without handing over, and when that was noticed.
-    restarted: BTreeMap<Name, Mono>,
+    /// VMs that stopped as planned.
+    left: BTreeSet<Name>,
     peers: BTreeMap<Name, Peer>,
     order: Vec<Name>,
     probes: Vec<Probe>,
@@ -133,26 +123,15 @@
 
 impl Members {
     /// Fleet of which only this VM is known.
-    pub fn new(
-        settings: MemberSettings,
-        name: Name,
-        data_centre: Name,
-        incarnation: u64,
-        seed: u64,
-    ) -> Self {
+    pub fn new(settings: MemberSettings, name: Name, incarnation: u64, seed: u64) -> Self {
         // Daemons with equal seeds still choose differently.
         let own = rank(0, &name);
         Self {
             settings,
             name,
-            data_centre,
             incarnation,
             list: FleetList::default(),
-            seats: Vec::new(),
-            removed: BTreeMap::new(),
-            epoch_since: Mono(0),
-            left: BTreeMap::new(),
-            restarted: BTreeMap::new(),
+            left: BTreeSet::new(),
             peers: BTreeMap::new(),
             order: Vec::new(),
             probes: Vec::new(),
@@ -181,19 +160,6 @@
         }
     }
 
-    /// Number of cells, 0 before any list is known.
-    pub fn cells(&self) -> u16 {
-        self.list.cells
-    }
-
-    /// Voters of a cell by the newest list, sorted.
-    pub fn seats(&self, cell: u16) -> Vec<Name> {
-        self.seats
-            .get(usize::from(cell))
-            .cloned()
-            .unwrap_or_default()
-    }
-
     /// VMs of the newest list.
     pub fn listed(&self) -> impl Iterator<Item = &Name> {
         self.list.vms.iter().map(|vm| &vm.name)
@@ -204,109 +170,27 @@
         self.listed().any(|n| n == name)
     }
 
-    /// Whether each daemon with this list, or a newer one, asks the VM what it remembers.
-    pub fn may_claim(&self, name: &Name) -> bool {
-        self.lists(name) || self.removed.contains_key(name)
-    }
-
-    /// VMs that may have dispatched calls within the retention time, with this one.
-    pub fn known(&self, now: Mono) -> BTreeSet<Name> {
-        let mut known: BTreeSet<_> = self.listed().cloned().collect();
-        known.extend(self.lost(now));
-        known.extend(self.peers.keys().cloned());
-        known.insert(self.name.clone());
-        known.retain(|name| !self.handed_over(now, name));
-        known
-    }
-
-    /// VMs that may be voters of a cell: those of the list, and those dropped from it lately.
-    ///
-    /// A new epoch says that those dropped before it are gone for good.
-    pub fn possible_voters(&self, now: Mono) -> BTreeSet<Name> {
-        let mut voters: BTreeSet<_> = self.listed().cloned().collect();
-        let recent = |at: &Mono| now.since(*at) < self.settings.remember && *at > self.epoch_since;
-        let removed = self
-            .removed
-            .iter()
-            .filter(|(name, at)| recent(at) && !self.left.contains_key(*name));
-        voters.extend(removed.map(|(name, _)| name.clone()));
-        voters
-    }
-
-    /// VMs that vanished from the list within the retention time without a planned stop.
-    pub fn lost(&self, now: Mono) -> Vec<Name> {
-        let recent = |at: &Mono| now.since(*at) < self.settings.remember;
-        let lost = self
-            .removed
-            .iter()
-            .chain(&self.restarted)
-            .filter(|(name, at)| recent(at) && !self.handed_over(now, name));
-        lost.map(|(name, _)| name.clone()).collect()
-    }
-
-    /// Whether a VM left, and none of its earlier incarnations took claims away with it.
-    fn handed_over(&self, now: Mono, name: &Name) -> bool {
-        let restarted = self.restarted.get(name);
-        let forgot = restarted.is_some_and(|at| now.since(*at) < self.settings.remember);
-        self.left.contains_key(name) && !forgot
-    }
-
-    /// Notes the incarnation in which a VM is known to run, or to have run.
-    fn note_incarnation(&mut self, now: Mono, name: &Name, incarnation: u64) {
-        let known = self.peers.get(name).map_or(0, |p| p.incarnation);
-        if known != 0 && incarnation > known && !self.left.contains_key(name) {
-            self.restarted.insert(name.clone(), now);
-        }
-        let remember = self.settings.remember;
-        self.restarted.retain(|_, at| now.since(*at) < remember);
-    }
-
     /// Peers that answer.
     pub fn live(&self) -> impl Iterator<Item = &Name> {
         let live = |(name, peer): &(&Name, &Peer)| {
-            peer.heard.is_some() && !peer.suspect && !self.left.contains_key(*name)
+            peer.heard.is_some() && !peer.suspect && !self.left.contains(*name)
         };
         self.peers.iter().filter(live).map(|(name, _)| name)
     }
 
-    /// Incarnation of a peer, if it was heard.
-    pub fn incarnation(&self, name: &Name) -> Option<u64> {
-        self.peers.get(name).map(|p| p.incarnation)
-    }
-
-    /// Whether the VM stands in this daemon's data centre.
-    pub fn near(&self, name: &Name) -> bool {
-        let vm = self.list.vms.iter().find(|vm| vm.name == *name);
-        vm.is_some_and(|vm| vm.data_centre == self.data_centre)
-    }
-
-    /// Takes a list; false if it isn't newer or changes the cells within an epoch.
+    /// Takes a list; false if it is empty or isn't newer.
     pub fn take_list(&mut self, now: Mono, list: FleetList, out: &mut Vec<Action>) -> bool {
         let mark = ListMark {
             epoch: list.epoch,
             revision: list.revision,
         };
-        if mark <= self.mark() || list.cells == 0 || list.vms.is_empty() {
+        if mark <= self.mark() || list.vms.is_empty() {
             return false;
         }
-        let first = self.list.vms.is_empty();
-        if !first && list.epoch == self.list.epoch && list.cells != self.list.cells {
-            log::error!(
-                "event=list_refused step=cells revision={} cells={} kept={}",
-                list.revision,
-                list.cells,
-                self.list.cells
-            );
-            return false;
-        }
-        let old = std::mem::replace(&mut self.list, list);
-        self.note_removed(now, &old);
-        if !first && old.epoch != self.list.epoch {
-            self.epoch_since = now;
-        }
-        self.seats = (0..self.list.cells)
-            .map(|c| seats(c, &self.list.vms))
-            .collect();
+        self.list = list;
+        let listed: BTreeSet<_> = self.listed().cloned().collect();
+        self.peers.retain(|name, _| listed.contains(name));
+        self.left.retain(|name| listed.contains(name));
         self.sizes.push_back((now, self.list.vms.len() as u32));
         if !self.lists(&self.name) {
             self.listed_since = None;
@@ -318,21 +202,8 @@
         true
     }
 
-    fn note_removed(&mut self, now: Mono, old: &FleetList) {
-        let gone: Vec<_> = old.vms.iter().map(|vm| vm.name.clone()).collect();
-        for name in gone {
-            if !self.lists(&name) {
-                self.removed.insert(name, now);
-            }
-        }
-        let listed: BTreeSet<_> = self.listed().cloned().collect();
-        self.removed.retain(|name, _| !listed.contains(name));
-        self.peers.retain(|name, _| listed.contains(name));
-    }
-
     /// Notes a sign of life.
     pub fn heard(&mut self, now: Mono, from: &Name, incarnation: u64) {
-        self.note_incarnation(now, from, incarnation);
         let peer = self.peers.entry(from.clone()).or_default();
         let revived = peer.suspect || peer.incarnation != incarnation;
         peer.incarnation = incarnation;
@@ -345,21 +216,19 @@
     }
 
     /// Notes that this daemon, or a peer, has stopped as planned.
-    pub fn note_left(&mut self, now: Mono, name: &Name, incarnation: u64) {
+    fn note_left(&mut self, name: &Name, incarnation: u64) {
         let known = self.peers.get(name).map_or(0, |p| p.incarnation);
-        if incarnation < known || self.left.contains_key(name) {
+        if incarnation < known || !self.left.insert(name.clone()) {
             return;
         }
-        self.note_incarnation(now, name, incarnation);
-        self.left.insert(name.clone(), now);
         self.gossip(name.clone(), incarnation, Liveness::Left);
     }
 
     /// Tells some peers at once that this daemon has stopped.
     pub fn announce_left(&mut self, now: Mono, out: &mut Vec<Action>) {
         let name = self.name.clone();
-        self.note_left(now, &name, self.incarnation);
-        let some: Vec<_> = self.live().take(MAX_VOTERS).cloned().collect();
+        self.note_left(&name, self.incarnation);
+        let some: Vec<_> = self.live().take(TOLD_OF_STOP).cloned().collect();
         for to in some {
             self.ping(now, to, out);
         }
@@ -372,7 +241,7 @@
         }
         if mark > self.mark() && now >= self.next_want {
             self.next_want = now + WANT_LIST_PAUSE;
-            send(from.clone(), LeaseMessage::WantList, out);
+            send(from.clone(), MemberMessage::WantList, out);
         }
     }
 
@@ -381,11 +250,11 @@
         &mut self,
         now: Mono,
         from: &Name,
-        message: LeaseMessage,
+        message: MemberMessage,
         out: &mut Vec<Action>,
     ) {
         match message {
-            LeaseMessage::Ping {
+            MemberMessage::Ping {
                 nonce,
                 mark,
                 updates,
@@ -395,8 +264,8 @@
                 let alive = self.name.clone();
                 self.ack(from.clone(), nonce, alive, self.incarnation, out);
             }
-            LeaseMessage::PingFor { nonce, target } => self.relay(from, nonce, target, out),
-            LeaseMessage::Ack {
+            MemberMessage::PingFor { nonce, target } => self.relay(from, nonce, target, out),
+            MemberMessage::Ack {
                 nonce,
                 alive,
                 incarnation,
@@ -407,18 +276,19 @@
                 self.compare_mark(now, from, mark, out);
                 self.take_ack(now, nonce, &alive, incarnation, out);
             }
-            LeaseMessage::WantList if !self.list.vms.is_empty() => {
-                send(from.clone(), LeaseMessage::List(self.list.clone()), out);
+            MemberMessage::WantList if !self.list.vms.is_empty() => {
+                send(from.clone(), MemberMessage::List(self.list.clone()), out);
             }
-            LeaseMessage::List(list) => {
+            MemberMessage::List(list) => {
                 self.take_list(now, list, out);
             }
-            _ => {}
+            // Before the first list there is none to send.
+            MemberMessage::WantList => {}
         }
     }
 
     fn ack(&mut self, to: Name, nonce: u32, alive: Name, incarnation: u64, out: &mut Vec<Action>) {
-        let message = LeaseMessage::Ack {
+        let message = MemberMessage::Ack {
             nonce,
             alive,
             incarnation,
@@ -486,7 +356,7 @@
         }
         let Some(peer) = self.peers.get_mut(&name) else {
             if liveness == Liveness::Left {
-                self.note_left(now, &name, incarnation);
+                self.note_left(&name, incarnation);
             }
             return;
         };
@@ -494,7 +364,7 @@
             return;
         }
         match liveness {
-            Liveness::Left => self.note_left(now, &name, incarnation),
+            Liveness::Left => self.note_left(&name, incarnation),
             Liveness::Suspect => {
                 let recent = peer
                     .heard
@@ -550,7 +420,7 @@
     fn send_ping(&mut self, target: Name, out: &mut Vec<Action>) -> u32 {
         self.next_nonce = self.next_nonce.wrapping_add(1);
         let nonce = self.next_nonce;
-        let message = LeaseMessage::Ping {
+        let message = MemberMessage::Ping {
             nonce,
             mark: self.mark(),
             updates: self.take_gossip(),
@@ -621,7 +491,7 @@
             helpers.shuffle(&mut self.rng);
             for helper in helpers.into_iter().take(self.settings.helpers) {
                 let target = target.clone();
-                send(helper, LeaseMessage::PingFor { nonce, target }, out);
+                send(helper, MemberMessage::PingFor { nonce, target }, out);
             }
         }
         let limit = indirect * 3;
@@ -667,7 +537,7 @@
             self.order.shuffle(&mut self.rng);
         }
         while let Some(target) = self.order.pop() {
-            if !self.left.contains_key(&target) {
+            if !self.left.contains(&target) {
                 self.peers.entry(target.clone()).or_default();
                 self.ping(now, target, out);
                 return;
@@ -718,16 +588,16 @@
 
 const READ_PAUSE: Duration = Duration::from_millis(200);
 
-fn send(to: Name, message: LeaseMessage, out: &mut Vec<Action>) {
-    let message = Message::Lease(message);
+fn send(to: Name, message: MemberMessage, out: &mut Vec<Action>) {
+    let message = Message::Member(message);
     out.push(Action::Send { to, message });
 }
 
-/// Order of VMs as candidates of a cell; the lowest comes first (rendezvous hashing).
-pub fn rank(cell: u16, name: &str) -> u64 {
+/// Order of VMs that every daemon computes alike; each salt gives another one.
+fn rank(salt: u16, name: &str) -> u64 {
     const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
-    let bytes = name.bytes().chain(cell.to_le_bytes());
+    let bytes = name.bytes().chain(salt.to_le_bytes());
     let hash = bytes.fold(BASIS, |hash, b| (hash ^ u64::from(b)).wrapping_mul(PRIME));
     mix(hash)
 }
@@ -737,21 +607,3 @@
     hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     hash ^ (hash >> 31)
 }
-
-/// Voters of a cell: the first VMs of each data centre in the order of candidates, sorted.
-pub fn seats(cell: u16, vms: &Arc<[Vm]>) -> Vec<Name> {
-    let mut centres: HashMap<&Name, Vec<&Name>> = HashMap::new();
-    for vm in vms.iter().filter(|vm| !vm.leaving) {
-        centres.entry(&vm.data_centre).or_default().push(&vm.name);
-    }
-    let share = MAX_VOTERS.div_ceil(centres.len().max(1));
-    let mut chosen = Vec::new();
-    for names in centres.values_mut() {
-        names.sort_by_key(|n| rank(cell, n));
-        chosen.extend(names.iter().take(share).copied());
-    }
-    chosen.sort_by_key(|n| rank(cell, n));
-    let mut chosen: Vec<_> = chosen.into_iter().take(MAX_VOTERS).cloned().collect();
-    chosen.sort();
-    chosen
-}
--- a/cuminspread/src/coordination/node.rs
+++ b/cuminspread/src/coordination/node.rs
@@ -1,19 +1,15 @@
 //! What a daemon says to its peers.
 //!
-//! [`Node`] joins the parts: [`Members`] for the fleet, [`Leases`] for the ownership of cells,
-//! [`Claims`] for keyed operations, [`News`], and [`Spread`] for configuration. It needs a
-//! [`Event::Tick`] at least every 50 ms.
+//! [`Node`] joins the parts: [`Members`] for the fleet, [`News`], and [`Spread`] for configuration.
+//! It needs a [`Event::Tick`] about every 100 ms.
 
 use std::time::Duration;
 
-use crate::coordination::claims::{ClaimSettings, Claims, Cx};
 use crate::coordination::event::{Action, Event};
-use crate::coordination::lease::{LeaseSettings, Leases};
 use crate::coordination::membership::{MemberSettings, Members};
 use crate::coordination::news::{News, NewsSettings};
 use crate::coordination::spread::{Spread, SpreadEvent, SpreadSettings};
 use crate::promise::Watch;
-use crate::protocol::lease::LeaseMessage;
 use crate::protocol::message::Message;
 use crate::protocol::news::NewsItem;
 use crate::state::Name;
@@ -33,10 +29,6 @@
     pub seed: u64,
     /// Membership.
     pub members: MemberSettings,
-    /// Leases.
-    pub leases: LeaseSettings,
-    /// Claims.
-    pub claims: ClaimSettings,
     /// News.
     pub news: NewsSettings,
     /// Time after which a daemon without a list or configuration is ready all the same.
@@ -51,8 +43,6 @@
             incarnation: 0,
             seed: 0,
             members: MemberSettings::default(),
-            leases: LeaseSettings::default(),
-            claims: ClaimSettings::default(),
             news: NewsSettings::default(),
             ready_bound: Duration::from_secs(10),
         }
@@ -66,16 +56,10 @@
     watch: Watch,
     spread: Spread,
     members: Members,
-    leases: Leases,
-    claims: Claims,
     news: News,
     started: Option<Mono>,
     configured: bool,
     ready: bool,
-    /// Since when every cell of this daemon has a known owner.
-    owners_since: Option<Mono>,
-    released: bool,
-    stopped: bool,
 }
 
 impl Node {
@@ -87,31 +71,24 @@
             incarnation,
             seed,
             members,
-            leases,
-            claims,
             news,
             ..
         } = settings.clone();
         let spread = SpreadSettings {
             name: name.clone(),
-            data_centre: data_centre.clone(),
+            data_centre,
             seed,
             ..SpreadSettings::default()
         };
         Self {
             spread: Spread::new(spread, watch.clone()),
-            members: Members::new(members, name.clone(), data_centre, incarnation, seed),
-            leases: Leases::new(leases, name.clone(), incarnation, seed),
-            claims: Claims::new(claims, name, incarnation),
+            members: Members::new(members, name, incarnation, seed),
             news: News::new(news),
             settings,
             watch,
             started: None,
             configured: false,
             ready: false,
-            owners_since: None,
-            released: false,
-            stopped: false,
         }
     }
 
@@ -130,16 +107,6 @@
         &self.members
     }
 
-    /// Leases of this daemon.
-    pub fn leases(&self) -> &Leases {
-        &self.leases
-    }
-
-    /// Claims of this daemon.
-    pub fn claims(&self) -> &Claims {
-        &self.claims
-    }
-
     /// Takes one event at one time; appends the actions that follow.
     pub fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
         self.started.get_or_insert(now.mono);
@@ -159,19 +126,6 @@
             Event::ReadFailed => self.spread(now, SpreadEvent::ReadFailed, out),
             Event::FleetUnchanged => self.members.note_read(now.mono),
             Event::FleetFailed => {}
-            Event::Claim {
-                ticket,
-                key,
-                request,
-                deadline,
-            } => {
-                let (claims, mut cx) = self.claims_cx(now, out);
-                claims.claim(&mut cx, ticket, key, request, deadline);
-            }
-            Event::Settled { key, settled } => {
-                let (claims, mut cx) = self.claims_cx(now, out);
-                claims.settled(&mut cx, key, settled);
-            }
             Event::ServerLeaving {
                 council,
                 service,
@@ -188,8 +142,8 @@
                 self.news.found(now.mono, NewsItem::Crashing(fingerprint));
             }
             Event::Stop => {
-                let (claims, mut cx) = self.claims_cx(now, out);
-                claims.stop(&mut cx);
+                self.members.announce_left(now.mono, out);
+                out.push(Action::Stopped);
             }
         }
         self.pass_list_on(now, first, out);
@@ -207,7 +161,7 @@
         }
     }
 
-    /// Passes an event on; a daemon is ready only when its leases are, too.
+    /// Passes an event on; a daemon is ready only when it is listed, too.
     fn spread(&mut self, now: Now, event: SpreadEvent, out: &mut Vec<Action>) {
         let mut new = Vec::new();
         self.spread.handle(now, event, &mut new);
@@ -220,16 +174,6 @@
         }
     }
 
-    fn claims_cx<'a>(&'a mut self, now: Now, out: &'a mut Vec<Action>) -> (&'a mut Claims, Cx<'a>) {
-        let cx = Cx {
-            now,
-            leases: &mut self.leases,
-            members: &self.members,
-            out,
-        };
-        (&mut self.claims, cx)
-    }
-
     fn take_list(&mut self, now: Now, list: FleetList, out: &mut Vec<Action>) {
         self.members.take_list(now.mono, list, out);
         self.members.note_read(now.mono);
@@ -245,11 +189,7 @@
     ) {
         self.members.heard(now.mono, &from, incarnation);
         match message {
-            Message::Lease(message) => self.receive_lease(now, &from, incarnation, message, out),
-            Message::Claim(message) => {
-                let (claims, mut cx) = self.claims_cx(now, out);
-                claims.receive(&mut cx, &from, incarnation, message);
-            }
+            Message::Member(message) => self.members.receive(now.mono, &from, message, out),
             Message::Spread(message) => {
                 let event = SpreadEvent::Received { from, message };
                 self.spread(now, event, out);
@@ -258,78 +198,24 @@
         }
     }
 
-    fn receive_lease(
-        &mut self,
-        now: Now,
-        from: &Name,
-        incarnation: u64,
-        message: LeaseMessage,
-        out: &mut Vec<Action>,
-    ) {
-        match &message {
-            LeaseMessage::Renew { mark, .. }
-            | LeaseMessage::Promises { mark, .. }
-            | LeaseMessage::AskPledge { mark, .. }
-            | LeaseMessage::Pledged { mark, .. } => {
-                self.members.compare_mark(now.mono, from, *mark, out);
-                self.leases
-                    .receive(now, from, incarnation, message, &self.members, out);
-            }
-            _ => self.members.receive(now.mono, from, message, out),
-        }
-    }
-
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
         self.members.tick(now.mono, out);
-        self.leases.tick(now, &self.members, out);
-        let (claims, mut cx) = self.claims_cx(now, out);
-        claims.tick(&mut cx);
         self.news.tick(now.mono, &mut self.members, out);
         if let Some(peers) = self.members.spread_peers() {
             self.spread(now, SpreadEvent::Peers(peers), out);
         }
         self.spread(now, SpreadEvent::Tick, out);
         self.check_ready(now, out);
-        self.check_stop(now, out);
     }
 
     fn check_ready(&mut self, now: Now, out: &mut Vec<Action>) {
         let since = self.started.unwrap_or(now.mono);
         let bound = now.mono.since(since) >= self.settings.ready_bound;
         let listed = self.members.lists(&self.settings.name);
-        let awake = self.leases.awake(now.mono);
-        let served = self.served(now);
-        // An unlisted daemon may take calls, too; its keyed ones stay unknown until it is listed.
-        if !self.ready && awake && (bound || (listed && self.configured && served)) {
+        // An unlisted daemon may take calls, too.
+        if !self.ready && (bound || (listed && self.configured)) {
             self.ready = true;
             out.push(Action::Ready);
         }
     }
-
-    /// Whether the owners of this daemon's cells can grant keys that are born now.
-    fn served(&mut self, now: Now) -> bool {
-        let mine = |cell: &u16| self.members.seats(*cell).contains(&self.settings.name);
-        let mut cells = (0..self.members.cells()).filter(mine);
-        if !cells.all(|cell| self.leases.hint(cell).is_some()) {
-            self.owners_since = None;
-            return false;
-        }
-        let since = *self.owners_since.get_or_insert(now.mono);
-        // An owner's birth bound lies two skews after its take-over, by its own clock.
-        now.mono.since(since) > self.settings.leases.skew * 3
-    }
-
-    fn check_stop(&mut self, now: Now, out: &mut Vec<Action>) {
-        if !self.released && self.claims.handed(now.mono) {
-            self.released = true;
-            self.leases.release(now, &self.members, out);
-        }
-        if self.released && !self.stopped && self.claims.stopped(now.mono) {
-            self.stopped = true;
-            if self.claims.all_settled() {
-                self.members.announce_left(now.mono, out);
-            }
-            out.push(Action::Stopped);
-        }
-    }
 }
--- /dev/null
+++ b/cuminspread/src/coordination/policy.rs
@@ -0,0 +1,88 @@
+//! Ways to choose a server, and their settings; [`super::choice`] carries them out.
+
+/// Way to choose a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Policy {
+    /// Any server with room.
+    Random,
+    /// Servers in turn.
+    RoundRobin,
+    /// Fewest calls of this daemon, over all servers.
+    LeastInFlight,
+    /// Fewer calls of this daemon, of two random servers.
+    PowerOfTwo,
+    /// Fastest of the sampled servers that are not hot.
+    HotCold,
+    /// Cheapest of the next few servers in turn; those passed over stay next.
+    Rotation,
+    /// Owned slots first, then the cheapest of a few sampled servers.
+    SlotShares,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 7] = [
+        Self::Random,
+        Self::RoundRobin,
+        Self::LeastInFlight,
+        Self::PowerOfTwo,
+        Self::HotCold,
+        Self::Rotation,
+        Self::SlotShares,
+    ];
+
+    /// Label for reports.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::RoundRobin => "round_robin",
+            Self::LeastInFlight => "least_in_flight",
+            Self::PowerOfTwo => "power_of_two",
+            Self::HotCold => "hot_cold",
+            Self::Rotation => "rotation",
+            Self::SlotShares => "slot_shares",
+        }
+    }
+}
+
+/// Settings of the choice.
+#[derive(Debug, Clone)]
+pub struct ChoiceSettings {
+    /// Way to choose.
+    pub policy: Policy,
+    /// Extra round trip to another data centre, in microseconds.
+    pub far_cost: f32,
+    /// Age at which a report counts for half, as a multiple of the mean latency.
+    pub report_half_life: f32,
+    /// Weight of the estimated load in the cost of a server.
+    pub load_weight: f32,
+    /// Weight of a latency above the service's in the cost of a server.
+    pub slow_weight: f32,
+    /// Time for which a server counts as full after a call was taken back, in mean latencies.
+    pub full_for: f32,
+    /// Servers that an overflow compares.
+    pub overflow_samples: usize,
+    /// Overflow in turn instead of at random.
+    pub rotate: bool,
+    /// Part of its estimated cost that an owned slot counts for.
+    pub own_factor: f32,
+    /// Cost below which an owned slot is taken without comparison, as a multiple of the mean.
+    pub own_enough: f32,
+}
+
+impl Default for ChoiceSettings {
+    fn default() -> Self {
+        Self {
+            policy: Policy::SlotShares,
+            far_cost: 2_000.0,
+            report_half_life: 1.0,
+            load_weight: 0.2,
+            slow_weight: 0.0,
+            full_for: 0.4,
+            overflow_samples: 3,
+            rotate: true,
+            own_factor: 0.1,
+            own_enough: 1.0,
+        }
+    }
+}
--- a/cuminspread/src/coordination/pool.rs
+++ b/cuminspread/src/coordination/pool.rs
@@ -7,9 +7,9 @@
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg32;
 
-use crate::coordination::choice::ChoiceSettings;
 use crate::coordination::event::CallId;
 use crate::coordination::limits::Concurrency;
+use crate::coordination::policy::ChoiceSettings;
 use crate::coordination::probe::Place;
 use crate::coordination::retry::{RetrySettings, Tokens};
 use crate::coordination::server::{Latency, Outlook, Server};
--- a/cuminspread/src/protocol.rs
+++ b/cuminspread/src/protocol.rs
@@ -1,10 +1,9 @@
 //! Typed messages between daemons, and the headers shared with callers and servers.
 
 pub mod bulletin;
-pub mod claim;
 pub mod envelope;
 pub mod header;
-pub mod lease;
+pub mod member;
 pub mod message;
 pub mod news;
 pub mod spread;
--- a/cuminspread/src/protocol/envelope.rs
+++ b/cuminspread/src/protocol/envelope.rs
@@ -16,7 +16,7 @@
 use crate::state::time::Wall;
 
 /// Version of the wire format.
-pub const FORMAT: u8 = 1;
+pub const FORMAT: u8 = 2;
 /// Largest sealed envelope, in bytes.
 pub const MAX_SEALED: usize = 8 << 20;
 /// Largest difference between the sender's and the receiver's wall clocks.
--- a/cuminspread/src/protocol/message.rs
+++ b/cuminspread/src/protocol/message.rs
@@ -4,8 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::protocol::claim::ClaimMessage;
-use crate::protocol::lease::LeaseMessage;
+use crate::protocol::member::MemberMessage;
 use crate::protocol::news::NewsMessage;
 use crate::protocol::spread::SpreadMessage;
 
@@ -13,10 +12,8 @@
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum Message {
-    /// Liveness and leases.
-    Lease(LeaseMessage),
-    /// Claims on operations.
-    Claim(ClaimMessage),
+    /// Liveness and the published list.
+    Member(MemberMessage),
     /// Configuration.
     Spread(SpreadMessage),
     /// Leaving servers and crashing requests.
--- a/cuminspread/src/record.rs
+++ b/cuminspread/src/record.rs
@@ -2,27 +2,26 @@
 //!
 //! A trace begins with a [`Head`], which holds what the state machines start from; then follow
 //! entries in the order of their events, each with the digests of the actions that followed. Every
-//! frame is a length of 4 bytes, little endian, and a value in postcard. Answers are kept as zeros
-//! of the same length, idempotency keys are hashed before they reach a state machine, and services
-//! are named only. Nothing here does I/O.
+//! frame is a length of 4 bytes, little endian, and a value in postcard. Services are named only.
+//! Nothing here does I/O.
 
 use std::fmt;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::event::{Action, CallAction, CallEvent, ClaimDecision, Event, Verdict};
+use crate::coordination::event::{Action, Call, CallAction, CallEvent, Event, Verdict};
 use crate::protocol::header::Outcome;
 use crate::state::Name;
-use crate::state::council::{Digest, Stamp};
+use crate::state::council::{Digest, ServiceConfig, Stamp};
 use crate::state::time::Now;
 
-mod redact;
 mod replay;
 
 pub use replay::{Compare, Difference, Replay, replay};
 
 /// Version of the trace format.
-pub const FORMAT: u8 = 1;
+pub const FORMAT: u8 = 2;
 /// Largest frame, in bytes.
 pub const MAX_FRAME: usize = 8 << 20;
 
@@ -67,7 +66,7 @@
     pub digest: Digest,
     /// The action, shortened.
     pub text: String,
-    /// What the action says about the outcome of a call, a claim or a configuration.
+    /// What the action says about the outcome of a call or a configuration.
     pub outcome: Option<String>,
 }
 
@@ -151,7 +150,7 @@
         if self.full() {
             return None;
         }
-        let told = Told::Call(redact::call_event(event));
+        let told = Told::Call(name_service(event));
         let asked = actions.iter().map(call_asked).collect();
         self.frame(&Entry { now, told, asked })
     }
@@ -161,7 +160,7 @@
         if self.full() {
             return None;
         }
-        let told = Told::Peer(redact::event(event));
+        let told = Told::Peer(event.clone());
         let asked = actions.iter().map(peer_asked).collect();
         self.frame(&Entry { now, told, asked })
     }
@@ -181,6 +180,21 @@
     }
 }
 
+/// Event with its service named only; the configuration in force has the rest.
+fn name_service(event: &CallEvent) -> CallEvent {
+    match event {
+        CallEvent::Arrived(call) => CallEvent::Arrived(Call {
+            service: Arc::new(ServiceConfig {
+                council: call.service.council.clone(),
+                name: call.service.name.clone(),
+                ..ServiceConfig::default()
+            }),
+            ..call.clone()
+        }),
+        other => other.clone(),
+    }
+}
+
 fn call_asked(action: &CallAction) -> Asked {
     let outcome = match action {
         CallAction::Finish { call, verdict } => {
@@ -198,16 +212,6 @@
 
 fn peer_asked(action: &Action) -> Asked {
     let outcome = match action {
-        Action::Decided { ticket, decision } => {
-            let decided = match decision {
-                ClaimDecision::Granted => "granted",
-                ClaimDecision::Ran(_) => "ran",
-                ClaimDecision::Unknown(_) => "unknown",
-                ClaimDecision::OtherRequest => "other request",
-                ClaimDecision::BadBirth => "bad birth",
-            };
-            Some(format!("claim {ticket} {decided}"))
-        }
         Action::InForce(config) => {
             let Stamp { version, digest } = config.stamp;
             Some(format!("{} at {} {digest}", config.council, version.0))
@@ -215,7 +219,7 @@
         Action::Ready => Some("ready".to_owned()),
         _ => None,
     };
-    Asked::new(&format!("{:?}", redact::action(action)), outcome)
+    Asked::new(&format!("{action:?}"), outcome)
 }
 
 /// Frames of a trace.
--- a/cuminspread/src/record/replay.rs
+++ b/cuminspread/src/record/replay.rs
@@ -76,7 +76,7 @@
     /// Every action, to the byte; for the program that recorded the trace.
     #[default]
     Actions,
-    /// What callers are told, which claims are granted and what is in force; for later programs,
+    /// What callers are told and what is in force; for later programs,
     /// whose choices between servers may differ.
     Outcomes,
 }
--- a/cuminspread/src/state/fleet.rs
+++ b/cuminspread/src/state/fleet.rs
@@ -27,10 +27,8 @@
 pub struct FleetList {
     /// Revision of the list, growing with each change.
     pub revision: u64,
-    /// Number that operators raise when a majority of a cell is lost for good.
+    /// Number that operators raise when they number revisions anew.
     pub epoch: u64,
-    /// Number of cells that idempotency keys are spread over, at least 1.
-    pub cells: u16,
     /// The VMs, in any order.
     pub vms: Arc<[Vm]>,
 }
--- a/cuminspread/src/state/time.rs
+++ b/cuminspread/src/state/time.rs
@@ -1,7 +1,7 @@
 //! Readings of the two clocks that decisions use.
 //!
-//! Both are handed in by the caller. Leases and timeouts use [`Mono`]; births of idempotency keys
-//! are compared with [`Wall`].
+//! Both are handed in by the caller. Timeouts use [`Mono`]; ages of messages are
+//! compared by [`Wall`].
 
 use std::ops::{Add, Sub};
 use std::time::Duration;
--- a/cuminspread/tests/dispatch/choice.rs
+++ b/cuminspread/tests/dispatch/choice.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminspread::coordination::choice::{ChoiceSettings, Policy};
 use cuminspread::coordination::dispatch::{DispatchSettings, Guards};
 use cuminspread::coordination::event::{CallAction, CallEvent, Connection, Ending, ServerId};
+use cuminspread::coordination::policy::{ChoiceSettings, Policy};
 use cuminspread::promise::Promise;
 use cuminspread::state::Name;
 use cuminspread::state::load::LoadReport;
--- a/cuminspreadd/src/admin.rs
+++ b/cuminspreadd/src/admin.rs
@@ -23,9 +23,9 @@
 use warp::reply::{Json, Reply as _, Response, json, with_status};
 
 use crate::engine::Engine;
-pub use crate::engine::ServerStatus;
 use crate::metrics::Readings;
-use crate::peers::PeerAddress;
+use crate::peer_address::PeerAddress;
+pub use crate::server_status::ServerStatus;
 
 /// State of a daemon.
 #[derive(Debug, Clone)]
--- a/cuminspreadd/src/answer.rs
+++ b/cuminspreadd/src/answer.rs
@@ -15,8 +15,6 @@
     Request,
     /// Finding its service.
     Route,
-    /// Claiming its idempotency key.
-    Claim,
     /// Choosing a server.
     Dispatch,
     /// Exchange with a server.
@@ -29,7 +27,6 @@
         match self {
             Self::Request => "request",
             Self::Route => "route",
-            Self::Claim => "claim",
             Self::Dispatch => "dispatch",
             Self::Server => "server",
         }
--- a/cuminspreadd/src/call.rs
+++ b/cuminspreadd/src/call.rs
@@ -1,19 +1,15 @@
 //! One call, from its arrival to its caller's answer.
 //!
-//! Each call runs in a task of its own, so that it goes on when its caller leaves: a granted claim
-//! is always settled, and a request that isn't idempotent may be left to finish.
+//! Each call runs in a task of its own, so that it goes on when its caller leaves: a request
+//! that isn't idempotent may be left to finish.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cuminspread::coordination::event::{
-    Attempt, Call, CallEvent, Ending, Event, Reason, Settled, Verdict,
-};
+use cuminspread::coordination::event::{Attempt, Call, CallEvent, Ending, Reason, Verdict};
 use cuminspread::promise::Promise;
-use cuminspread::protocol::claim::{OperationKey, StoredAnswer};
 use cuminspread::protocol::header::Outcome as Told;
-use cuminspread::state::council::Digest;
 use cuminspread::transport::upstream::{Failure, Upstream};
 use futures_util::StreamExt as _;
 use http::response::Parts;
@@ -23,7 +19,6 @@
 use crate::admission::Admission;
 use crate::answer::{Notice, Step, status_of};
 use crate::attempt::{self, Control, Ended, Outcome, Outgoing, Spec};
-use crate::claim;
 use crate::engine::Engine;
 use crate::orders::{Attempts, Order, Orders, SendOrder};
 use crate::spans::{Hop, HopKind};
@@ -36,8 +31,6 @@
     pub call: Call,
     /// Its request.
     pub request: Arc<Outgoing>,
-    /// Operation and digest of the request, if it must run at most once.
-    pub key: Option<(OperationKey, Digest)>,
     /// Counts the request until its call has ended.
     pub admission: Admission,
     /// Time of its arrival.
@@ -63,24 +56,10 @@
         /// Body.
         tail: Tail,
     },
-    /// Answer of an earlier run of the same operation.
-    Stored(Arc<StoredAnswer>),
 }
 
 /// Runs a call; the reply is sent once, also if nobody waits for it any more.
-pub async fn run(engine: Arc<Engine>, job: Job, mut reply: oneshot::Sender<Reply>) {
-    if let Some((key, digest)) = job.key {
-        let started = Instant::now();
-        let claimed = claim::wait(&engine, &job, key, digest, &mut reply).await;
-        claim::record(&engine, &job, started, claimed.is_ok());
-        if let Err(refused) = claimed {
-            if let Some(refused) = refused {
-                // Fails only if the caller left; its claim wasn't granted.
-                let _ = reply.send(refused);
-            }
-            return;
-        }
-    }
+pub async fn run(engine: Arc<Engine>, job: Job, reply: oneshot::Sender<Reply>) {
     Run::new(engine, job, reply).drive().await;
 }
 
@@ -123,13 +102,12 @@
     job: Job,
     reply: Option<oneshot::Sender<Reply>>,
     orders: Arc<Orders>,
-    attempts: Attempts,
+    attempts: Attempts<Ended>,
     running: Vec<Running>,
     answers: Vec<(Attempt, Outcome)>,
     verdict: Option<Verdict>,
     /// An attempt ended without proof that its request didn't start.
     unproven: bool,
-    settled: bool,
     last: Option<Arc<Upstream>>,
     failure: Option<Failure>,
 }
@@ -147,7 +125,6 @@
             answers: Vec::new(),
             verdict: None,
             unproven: false,
-            settled: false,
             last: None,
             failure: None,
         }
@@ -290,12 +267,7 @@
     }
 
     fn end_stream(&mut self, attempt: Attempt, whole: bool) {
-        let (ending, settled) = if whole {
-            (Ending::Whole, Settled::Ran(None))
-        } else {
-            (Ending::Broken, Settled::Unknown)
-        };
-        self.settle(settled);
+        let ending = if whole { Ending::Whole } else { Ending::Broken };
         self.report(attempt, ending);
     }
 
@@ -345,11 +317,15 @@
         self.count(Told::Ran, "delivered");
         match outcome {
             Outcome::Whole { head, body } => {
-                self.settle_whole(&head, &body);
                 self.answer(Reply::Whole { head, body });
             }
             Outcome::Large { head, prefix, rest } => {
-                let (tail, done) = Tail::new(prefix, rest, &self.job);
+                let (tail, done) = Tail::new(
+                    prefix,
+                    rest,
+                    self.job.request.deadline,
+                    self.job.call.service.max_body,
+                );
                 let mut unread = None;
                 if self.reply.is_some() {
                     self.answer(Reply::Stream { head, tail });
@@ -371,15 +347,6 @@
         }
     }
 
-    fn settle_whole(&mut self, head: &Parts, body: &Bytes) {
-        if self.job.key.is_none() {
-            return;
-        }
-        let max = self.engine.settings.servers.max_stored;
-        let stored = (body.len() <= max).then(|| Arc::new(store(head, body)));
-        self.settle(Settled::Ran(stored));
-    }
-
     fn refuse(&mut self, verdict: Verdict) {
         self.abandon(None);
         let (outcome, reason, retry_after) = match verdict {
@@ -390,10 +357,6 @@
             Verdict::Unknown(reason) => (Told::Unknown, reason, None),
             Verdict::Deliver(_) => return,
         };
-        self.settle(match outcome {
-            Told::NotRun => Settled::NotRun,
-            _ => Settled::Unknown,
-        });
         self.count(outcome, reason.label());
         let notice = self.notice(outcome, reason, retry_after);
         self.answer(Reply::Notice(notice));
@@ -425,19 +388,6 @@
         }
     }
 
-    /// Tells the owner of the operation its final state, before the caller learns it.
-    fn settle(&mut self, settled: Settled) {
-        let Some((key, _)) = self.job.key else {
-            return;
-        };
-        if std::mem::replace(&mut self.settled, true) {
-            return;
-        }
-        if let Some(peers) = self.engine.peers() {
-            peers.tell(Event::Settled { key, settled });
-        }
-    }
-
     fn count(&self, outcome: Told, reason: &'static str) {
         count(&self.engine, &self.job, outcome, reason);
     }
@@ -448,14 +398,3 @@
         self.engine.close_call(self.job.call.id);
     }
 }
-
-fn store(head: &Parts, body: &Bytes) -> StoredAnswer {
-    let fields = head.headers.iter();
-    StoredAnswer {
-        status: head.status.as_u16(),
-        headers: fields
-            .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-            .collect(),
-        body: body.to_vec(),
-    }
-}
--- a/cuminspreadd/src/daemon.rs
+++ b/cuminspreadd/src/daemon.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use crate::engine::Engine;
-use crate::peers::PeerAddress;
+use crate::peer_address::PeerAddress;
 use crate::settings::Settings;
 use crate::spans::Spans;
 use crate::{admin, front, peers};
@@ -26,8 +26,8 @@
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 /// Time between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
-/// Longest time for handing claims over during a planned stop.
-const HAND_OVER: Duration = Duration::from_secs(5);
+/// Longest time for telling peers and the collector of spans of a planned stop.
+const FAREWELL: Duration = Duration::from_secs(5);
 
 /// A running daemon.
 #[derive(Debug)]
@@ -38,7 +38,7 @@
     engine: Arc<Engine>,
     closing: watch::Sender<bool>,
     drain: Arc<Notify>,
-    handed_over: Arc<Notify>,
+    peers_told: Arc<Notify>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -82,7 +82,7 @@
             engine,
             closing,
             drain,
-            handed_over: peers.stopped,
+            peers_told: peers.stopped,
             tasks,
         })
     }
@@ -140,7 +140,7 @@
         async move { drain.notified().await }
     }
 
-    /// Planned stop: refuses new calls, lets those in flight finish, hands claims over.
+    /// Planned stop: refuses new calls, lets those in flight finish, tells its peers.
     ///
     /// Returns whether every call in flight finished within the bound.
     pub async fn stop(self) -> bool {
@@ -149,7 +149,7 @@
         let in_flight = || self.engine.admissions.requests();
         log::info!("event=stopping in_flight={}", in_flight());
         self.wait_for_calls(until).await;
-        self.hand_over(until).await;
+        self.tell_peers(until).await;
         self.closing.send_replace(true);
         self.wait_for_connections(until).await;
         let connections = self.connections();
@@ -159,7 +159,7 @@
         });
         if let Some(spans) = self.engine.spans() {
             // A collector that is down doesn't hold the stop up.
-            let _ = tokio::time::timeout(HAND_OVER, spans.flush()).await;
+            let _ = tokio::time::timeout(FAREWELL, spans.flush()).await;
         }
         log::info!("event=stopped whole={whole}");
         self.engine.flush_trace();
@@ -173,15 +173,15 @@
         }
     }
 
-    async fn hand_over(&self, until: Instant) {
+    async fn tell_peers(&self, until: Instant) {
         let Some(peers) = self.engine.peers() else {
             return;
         };
         peers.tell(Event::Stop);
-        let until = until.min(Instant::now() + HAND_OVER);
-        let done = self.handed_over.notified();
+        let until = until.min(Instant::now() + FAREWELL);
+        let done = self.peers_told.notified();
         if tokio::time::timeout_at(until, done).await.is_err() {
-            log::warn!("event=hand_over_unfinished");
+            log::warn!("event=peers_not_told step=stop");
         }
     }
 
@@ -197,7 +197,7 @@
         self.closing.receiver_count().saturating_sub(1)
     }
 
-    /// Ends at once, as a crash would: sockets close, nothing is handed over.
+    /// Ends at once, as a crash would: sockets close, no peer is told.
     pub fn kill(self) {
         self.end();
     }
--- a/cuminspreadd/src/engine.rs
+++ b/cuminspreadd/src/engine.rs
@@ -22,15 +22,15 @@
 use cuminspread::transport::clock::SystemClock;
 use cuminspread::transport::record::{DEFAULT_MAX_BYTES, RecordFile};
 use cuminspread::transport::upstream::Upstream;
-use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::admission::Admissions;
 use crate::metrics::Metrics;
 use crate::orders::{Order, Orders, SendOrder};
-use crate::peers::PeerAddress;
+use crate::peer_address::PeerAddress;
 use crate::probe;
+use crate::server_status::ServerStatus;
 use crate::settings::Settings;
 use crate::spans::Spans;
 
@@ -83,30 +83,6 @@
     pub faults: Arc<[Fault]>,
 }
 
-/// State of one server, as this daemon sees it.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
-pub struct ServerStatus {
-    /// Council.
-    pub council: String,
-    /// Service.
-    pub service: String,
-    /// Server.
-    pub name: String,
-    /// Its address.
-    pub address: String,
-    /// `ready`, `cold`, `ejected` or `leaving`.
-    pub state: String,
-    /// Attempts of this daemon that it has.
-    pub in_flight: u32,
-    /// Mean time to the head of an answer, in microseconds.
-    pub mean_us: u64,
-    /// Connections that are open.
-    pub open: u32,
-    /// Connections opened since the start.
-    pub opened: u64,
-}
-
 impl Engine {
     /// Engine without any council.
     pub fn new(settings: Settings, tag: u64, watch: Watch) -> Arc<Self> {
@@ -399,12 +375,12 @@
         let Some(engine) = self.me.upgrade() else {
             return;
         };
-        let job = probe::Job {
-            server,
-            upstream,
-            path,
-        };
-        tokio::spawn(probe::run(engine, job));
+        tokio::spawn(async move {
+            let timeout = engine.settings.servers.probe_timeout;
+            let load = probe::run(&upstream, &path, timeout).await;
+            engine.metrics.count_probe(load.is_some());
+            engine.tell(CallEvent::Probed { server, load });
+        });
     }
 
     fn service(&self, council: &str, service: &str) -> Option<Arc<ServiceConfig>> {
--- a/cuminspreadd/src/front.rs
+++ b/cuminspreadd/src/front.rs
@@ -12,7 +12,6 @@
 
 use bytes::{Buf, Bytes};
 use cuminspread::coordination::event::Call;
-use cuminspread::protocol::claim::OperationKey;
 use cuminspread::protocol::header::{self as cumin, OUTCOME, Outcome};
 use cuminspread::state::routing::without_port;
 use cuminspread::state::table::Match;
@@ -161,14 +160,9 @@
         req: Incoming,
         body: impl Stream<Item = Result<B, warp::Error>>,
     ) -> Response {
-        let keyed = req.headers.contains_key(cumin::IDEMPOTENCY_KEY);
         match self.accept(req, body).await {
             Ok(reply) => self.respond(reply),
-            Err(mut notice) => {
-                if keyed {
-                    // An earlier send of the same operation may have run.
-                    notice.outcome = Outcome::Unknown;
-                }
+            Err(notice) => {
                 self.engine
                     .metrics
                     .count_unrouted(notice.outcome.label(), notice.reason);
@@ -283,14 +277,6 @@
             idempotent,
         } = found;
         let digest = digest_of(&req, &body);
-        let key = req
-            .headers
-            .get(cumin::IDEMPOTENCY_KEY)
-            .filter(|_| !idempotent)
-            .map(|key| {
-                let text = String::from_utf8_lossy(key.as_bytes());
-                OperationKey::new(&service.council, &service.name, &text)
-            });
         let span = limits.deadline.unwrap_or(service.deadline);
         let span = span.min(service.deadline);
         let left = span.saturating_sub(arrived.elapsed());
@@ -323,7 +309,6 @@
         Job {
             call,
             request: Arc::new(request),
-            key: key.map(|key| (key, digest)),
             admission,
             arrived,
         }
@@ -336,19 +321,6 @@
             Reply::Stream { head, tail } => {
                 with_head(head, warp::reply::stream(tail).into_response())
             }
-            Reply::Stored(stored) => {
-                let mut res = Response::new(stored.body.clone().into());
-                let status = StatusCode::from_u16(stored.status);
-                *res.status_mut() = status.unwrap_or_default();
-                for (name, value) in &stored.headers {
-                    let name = http::HeaderName::try_from(name.as_str());
-                    if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
-                        res.headers_mut().append(name, value);
-                    }
-                }
-                set_ran(&mut res);
-                res
-            }
         };
         if self.engine.is_stopping() {
             res.headers_mut()
--- a/cuminspreadd/src/lib.rs
+++ b/cuminspreadd/src/lib.rs
@@ -1,16 +1,14 @@
 //! The daemon as a library, so that tests and measurements can run several in one process.
 //!
-//! A call passes these modules: [`front`] reads the request and names its service, [`call`] claims
-//! its key and carries out what the dispatcher decides, [`attempt`] sends it to one server. [`engine`]
-//! holds the dispatcher and the routing table, [`peers`] the state machine that talks to other
-//! daemons.
+//! A call passes these modules: [`front`] reads the request and names its service, [`call`]
+//! carries out what the dispatcher decides, [`attempt`] sends it to one server. [`engine`] holds the
+//! dispatcher and the routing table, [`peers`] the state machine that talks to other daemons.
 
 pub mod admin;
 pub mod admission;
 pub mod answer;
 pub mod attempt;
 pub mod call;
-pub mod claim;
 pub mod daemon;
 pub mod edge;
 pub mod engine;
@@ -20,9 +18,11 @@
 pub mod logging;
 pub mod metrics;
 pub mod orders;
+pub mod peer_address;
 pub mod peers;
 pub mod probe;
 pub mod request;
+pub mod server_status;
 pub mod settings;
 pub mod spans;
 pub mod tail;
--- a/cuminspreadd/src/metrics.rs
+++ b/cuminspreadd/src/metrics.rs
@@ -16,7 +16,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::engine::ServerStatus;
+use crate::server_status::ServerStatus;
 
 /// Shortest bucket of the latency histogram, in seconds.
 const FIRST_BUCKET_S: f64 = 0.0005;
--- a/cuminspreadd/src/orders.rs
+++ b/cuminspreadd/src/orders.rs
@@ -15,8 +15,6 @@
 use cuminspread::transport::upstream::Upstream;
 use tokio::sync::Notify;
 
-use crate::attempt::Ended;
-
 /// What a call's task is asked to do.
 #[derive(Debug)]
 pub enum Order {
@@ -79,12 +77,17 @@
 }
 
 /// Attempts of one call that have not ended.
-#[derive(Default)]
-pub struct Attempts(Vec<Pin<Box<dyn Future<Output = Ended> + Send>>>);
+pub struct Attempts<T>(Vec<Pin<Box<dyn Future<Output = T> + Send>>>);
+
+impl<T> Default for Attempts<T> {
+    fn default() -> Self {
+        Self(Vec::new())
+    }
+}
 
-impl Attempts {
+impl<T> Attempts<T> {
     /// Adds an attempt.
-    pub fn push(&mut self, attempt: impl Future<Output = Ended> + Send + 'static) {
+    pub fn push(&mut self, attempt: impl Future<Output = T> + Send + 'static) {
         self.0.push(Box::pin(attempt));
     }
 
@@ -94,7 +97,7 @@
     }
 
     /// Waits until one ends; for ever if there is none.
-    pub async fn next(&mut self) -> Ended {
+    pub async fn next(&mut self) -> T {
         poll_fn(|cx| {
             for i in 0..self.0.len() {
                 if let Poll::Ready(ended) = self.0[i].as_mut().poll(cx) {
@@ -108,7 +111,7 @@
     }
 }
 
-impl fmt::Debug for Attempts {
+impl<T> fmt::Debug for Attempts<T> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_tuple("Attempts").field(&self.0.len()).finish()
     }
--- a/cuminspreadd/src/peers.rs
+++ b/cuminspreadd/src/peers.rs
@@ -1,100 +1,25 @@
 //! Actor around the state machine that talks to other daemons.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context as _;
-use cuminspread::coordination::event::{Action, CallEvent, ClaimDecision, Event, Settled};
+use cuminspread::coordination::event::{Action, CallEvent, Event};
 use cuminspread::coordination::node::{Node, NodeSettings};
-use cuminspread::protocol::claim::OperationKey;
-use cuminspread::state::Name;
-use cuminspread::state::council::Digest;
-use cuminspread::state::time::Mono;
-use cuminspread::transport::peer::{Inbound, PeerCounts, PeerLink, PeerSettings};
+use cuminspread::transport::peer::{Inbound, PeerLink, PeerSettings};
 use cuminspread::transport::platform::{Platform, PlatformSettings, ReadError, Target};
-use futures_util::FutureExt as _;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
-use xtra::{Actor, Address, Context, Handler, Mailbox};
+use xtra::prelude::MessageChannel;
+use xtra::{Actor, Context, Handler, Mailbox};
 
 use crate::engine::Engine;
+use crate::peer_address::{Input, PeerAddress};
 
 /// Time between two ticks of the state machine.
 const TICK: Duration = Duration::from_millis(100);
 
-/// A message to the actor.
-#[derive(Debug)]
-pub enum Input {
-    /// An event for the state machine.
-    Event(Event),
-    /// A claim; the decision goes to the sender.
-    Claim {
-        /// Operation.
-        key: OperationKey,
-        /// Digest of its request.
-        request: Digest,
-        /// Time by which a decision is needed.
-        deadline: Mono,
-        /// Gets the decision.
-        reply: oneshot::Sender<ClaimDecision>,
-    },
-}
-
-/// Address of the actor.
-#[derive(Debug, Clone)]
-pub struct PeerAddress {
-    actor: Address<PeerActor>,
-    link: Weak<PeerLink>,
-}
-
-impl PeerAddress {
-    /// Tells the state machine an event.
-    pub fn tell(&self, event: Event) {
-        self.send(Input::Event(event));
-    }
-
-    /// Claims an operation; `None` if the daemon ends.
-    pub fn claim(
-        &self,
-        key: OperationKey,
-        request: Digest,
-        deadline: Mono,
-    ) -> impl Future<Output = Option<ClaimDecision>> + use<> {
-        let (reply, rx) = oneshot::channel();
-        self.send(Input::Claim {
-            key,
-            request,
-            deadline,
-            reply,
-        });
-        rx.map(Result::ok)
-    }
-
-    /// Counts of the link to peers.
-    pub fn counts(&self) -> PeerCounts {
-        self.link.upgrade().map(|l| l.counts()).unwrap_or_default()
-    }
-
-    /// Drops all traffic with a peer, both ways, until unblocked; for tests of splits.
-    pub fn block(&self, peer: &Name, blocked: bool) {
-        if let Some(link) = self.link.upgrade() {
-            link.block(peer, blocked);
-        }
-    }
-
-    fn send(&self, input: Input) {
-        // The mailbox has no bound, so that sending is done at once; it fails if the actor ended.
-        let _ = self.actor.send(input).detach().now_or_never();
-    }
-}
-
-struct Waiter {
-    key: OperationKey,
-    reply: oneshot::Sender<ClaimDecision>,
-}
-
 /// Actor around a [`Node`].
 pub struct PeerActor {
     engine: Arc<Engine>,
@@ -102,8 +27,6 @@
     link: Arc<PeerLink>,
     platform: Option<Platform>,
     me: PeerAddress,
-    next_ticket: u64,
-    waiting: HashMap<u64, Waiter>,
     actions: Vec<Action>,
     stopped: Arc<Notify>,
 }
@@ -121,7 +44,7 @@
 pub struct Started {
     /// Its address.
     pub address: PeerAddress,
-    /// Notified when the hand-over of a planned stop is done.
+    /// Notified when the peers were told of a planned stop.
     pub stopped: Arc<Notify>,
     /// Address of the link to peers.
     pub local: SocketAddr,
@@ -144,15 +67,12 @@
         data_centre: settings.data_centre.clone(),
         incarnation: engine.incarnation,
         seed: settings.seed,
-        leases: settings.leases.clone(),
         ..NodeSettings::default()
     };
     let stopped = Arc::new(Notify::new());
     let (actor_address, mailbox) = Mailbox::unbounded();
-    let address = PeerAddress {
-        actor: actor_address,
-        link: Arc::downgrade(&link),
-    };
+    let channel = MessageChannel::new(actor_address);
+    let address = PeerAddress::new(channel, Arc::downgrade(&link));
     let local = link.local();
     let actor = PeerActor {
         engine: Arc::clone(engine),
@@ -160,8 +80,6 @@
         link,
         platform,
         me: address.clone(),
-        next_ticket: 0,
-        waiting: HashMap::new(),
         actions: Vec::new(),
         stopped: Arc::clone(&stopped),
     };
@@ -235,25 +153,7 @@
     type Return = ();
 
     async fn handle(&mut self, input: Input, _: &mut Context<Self>) {
-        match input {
-            Input::Event(event) => self.handle_event(event),
-            Input::Claim {
-                key,
-                request,
-                deadline,
-                reply,
-            } => {
-                self.next_ticket += 1;
-                let ticket = self.next_ticket;
-                self.waiting.insert(ticket, Waiter { key, reply });
-                self.handle_event(Event::Claim {
-                    ticket,
-                    key,
-                    request,
-                    deadline,
-                });
-            }
-        }
+        self.handle_event(input.0);
     }
 }
 
@@ -277,7 +177,6 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Decided { ticket, decision } => self.decide(ticket, decision),
             Action::InForce(config) => self.engine.put_in_force(config),
             Action::Refused {
                 council,
@@ -319,20 +218,6 @@
             me.tell(event);
         });
     }
-
-    fn decide(&mut self, ticket: u64, decision: ClaimDecision) {
-        let Some(waiter) = self.waiting.remove(&ticket) else {
-            return;
-        };
-        let granted = decision == ClaimDecision::Granted;
-        if waiter.reply.send(decision).is_err() && granted {
-            // The call gave up before its grant came: it never ran, and the key is free again.
-            self.handle_event(Event::Settled {
-                key: waiter.key,
-                settled: Settled::NotRun,
-            });
-        }
-    }
 }
 
 async fn read_folder(engine: &Engine, platform: &Platform, after: u64) -> Event {
--- a/cuminspreadd/src/probe.rs
+++ b/cuminspreadd/src/probe.rs
@@ -1,11 +1,10 @@
 //! Asks a server for its load.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use cuminspread::coordination::event::{CallEvent, ServerId};
 use cuminspread::protocol::header as cumin;
-use cuminspread::state::Name;
 use cuminspread::state::load::LoadReport;
 use cuminspread::transport::upstream::exchange::Exchange;
 use cuminspread::transport::upstream::{Choice, Failure, Upstream};
@@ -13,39 +12,19 @@
 use http::{HeaderMap, Method, Request};
 use http_body_util::Full;
 
-use crate::engine::Engine;
-
 /// Largest body of an answer to a probe or a cancellation, in bytes.
 const MAX_BODY: usize = 4096;
 
-/// One probe.
-#[derive(Debug)]
-pub struct Job {
-    /// Server to probe.
-    pub server: ServerId,
-    /// Connections to it.
-    pub upstream: Arc<Upstream>,
-    /// Path that answers with a load report.
-    pub path: Name,
-}
-
-/// Probes a server and tells the dispatcher the result.
-pub async fn run(engine: Arc<Engine>, job: Job) {
-    let timeout = engine.settings.servers.probe_timeout;
-    let answer = ask(&job.upstream, Method::GET, &job.path);
-    let load = match tokio::time::timeout(timeout, answer).await {
-        Ok(Ok(answer)) => load_of(&answer.headers),
-        Ok(Err(e)) => {
-            log::debug!("event=probe_failed server={} {e}", job.upstream.name());
-            None
-        }
-        Err(_) => None,
+/// Probes a server at a path that answers with a load report; `None` if that fails.
+pub async fn run(upstream: &Arc<Upstream>, path: &str, timeout: Duration) -> Option<LoadReport> {
+    let answer = ask(upstream, Method::GET, path);
+    let cause = match tokio::time::timeout(timeout, answer).await {
+        Ok(Ok(answer)) => return load_of(&answer.headers),
+        Ok(Err(e)) => e.to_string(),
+        Err(_) => format!("no answer within {timeout:?}"),
     };
-    engine.metrics.count_probe(load.is_some());
-    engine.tell(CallEvent::Probed {
-        server: job.server,
-        load,
-    });
+    log::debug!("event=probe_failed server={} {cause}", upstream.name());
+    None
 }
 
 /// Load report in an answer's head.
--- a/cuminspreadd/src/settings.rs
+++ b/cuminspreadd/src/settings.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use cuminspread::coordination::dispatch::Guards;
-use cuminspread::coordination::lease::LeaseSettings;
 use cuminspread::state::Name;
 use cuminspread::transport::upstream::UpstreamSettings;
 
@@ -49,8 +48,6 @@
     pub log: LogSettings,
     /// Where spans go.
     pub traces: TraceSettings,
-    /// Leases on cells; the same on all daemons.
-    pub leases: LeaseSettings,
     /// Guards of the dispatcher that only tests switch off.
     pub guards: Guards,
     /// The platform has a store, which names routes and servers; read by the program, not by
@@ -77,7 +74,6 @@
             servers: ServerSettings::default(),
             log: LogSettings::default(),
             traces: TraceSettings::default(),
-            leases: LeaseSettings::default(),
             guards: Guards::default(),
             edge: None,
         }
@@ -125,8 +121,6 @@
     pub cancel_timeout: Duration,
     /// An answer larger than this is passed on while it arrives.
     pub stream_above: usize,
-    /// An answer larger than this isn't kept for a second send of its operation.
-    pub max_stored: usize,
 }
 
 impl Default for ServerSettings {
@@ -136,7 +130,6 @@
             probe_timeout: Duration::from_secs(1),
             cancel_timeout: Duration::from_secs(1),
             stream_above: 64 << 10,
-            max_stored: 16 << 10,
         }
     }
 }
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -7,9 +7,9 @@
 //! | `platform` | `url` |
 //! | `store` | `address` |
 //! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
-//! | `peers` | `key`, `previous_key`, `lease_ms`, `renew_ms`, `skew_ms`, `seeds`, `first_start`, `core_share` |
+//! | `peers` | `key`, `previous_key`, `seeds`, `first_start`, `core_share` |
 //! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
-//! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `max_stored` |
+//! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above` |
 //! | `traces` | `otlp`, `file` |
 //! | `log` | `level`, `file`, `record` |
 //!
@@ -185,9 +185,6 @@
             ("platform", "url") => s.platform = url(value)?,
             ("peers", "key") => s.peer_keys.insert(0, secret(value)?),
             ("peers", "previous_key") => s.peer_keys.push(secret(value)?),
-            ("peers", "lease_ms") => s.leases.lease = duration(value)?,
-            ("peers", "renew_ms") => s.leases.renew = duration(value)?,
-            ("peers", "skew_ms") => s.leases.skew = duration(value)?,
             ("bounds", "looks_per_s") => edge(s).looks_per_s = amount(value)?,
             ("callers", _) => return self.set_callers(key, value),
             ("servers", _) => return self.set_servers(key, value),
@@ -226,7 +223,6 @@
             "max_head" => s.connections.max_head = number(value, 8192..=1 << 20)?,
             "max_headers" => s.connections.max_headers = number(value, 16..=1000)?,
             "stream_above" => s.stream_above = number(value, 0..=1 << 24)?,
-            "max_stored" => s.max_stored = number(value, 0..=1 << 20)?,
             _ => return Err(unknown_key("servers")),
         }
         Ok(())
@@ -296,13 +292,13 @@
         "store" => "address",
         "bounds" => "grace_s, retry_ratio, retry_slack, looks_per_s",
         "platform" => "url",
-        "peers" => "key, previous_key, lease_ms, renew_ms, skew_ms, seeds, first_start, core_share",
+        "peers" => "key, previous_key, seeds, first_start, core_share",
         "callers" => {
             "head_timeout_ms, body_timeout_ms, max_head, max_headers, max_connections, max_buffered"
         }
         "servers" => {
             "connect_timeout_ms, live_window_ms, idle_timeout_ms, probe_timeout_ms, \
-             cancel_timeout_ms, max_head, max_headers, stream_above, max_stored"
+             cancel_timeout_ms, max_head, max_headers, stream_above"
         }
         "traces" => "otlp, file",
         _ => "level, file, record",
--- a/cuminspreadd/src/spans.rs
+++ b/cuminspreadd/src/spans.rs
@@ -56,8 +56,6 @@
 pub enum HopKind {
     /// A call, from its arrival to its verdict.
     Call,
-    /// The claim of its idempotency key at the owner.
-    Claim,
     /// An attempt at a server.
     Attempt,
 }
@@ -131,7 +129,6 @@
         let end_time = SystemTime::now();
         let (name, span_kind) = match hop.kind {
             HopKind::Call => ("call", SpanKind::Server),
-            HopKind::Claim => ("claim", SpanKind::Internal),
             HopKind::Attempt => ("attempt", SpanKind::Client),
         };
         SpanData {
--- a/cuminspreadd/src/tail.rs
+++ b/cuminspreadd/src/tail.rs
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::sync::{Mutex, PoisonError};
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use cuminspread::transport::upstream::Failure;
@@ -15,8 +16,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Sleep;
 
-use crate::call::Job;
-
 /// Body of a large answer.
 #[derive(Debug)]
 pub struct Tail(Mutex<Inner>);
@@ -31,13 +30,18 @@
 }
 
 impl Tail {
-    /// Stream of an answer; the receiver learns whether it reached its end.
-    pub fn new(prefix: Bytes, rest: Exchange, job: &Job) -> (Self, oneshot::Receiver<bool>) {
+    /// Stream of an answer of at most `max_body` bytes; the receiver learns whether it reached its
+    /// end.
+    pub fn new(
+        prefix: Bytes,
+        rest: Exchange,
+        deadline: Instant,
+        max_body: u64,
+    ) -> (Self, oneshot::Receiver<bool>) {
         let (tx, rx) = oneshot::channel();
-        let deadline = tokio::time::sleep_until(job.request.deadline.into());
-        let left = job.call.service.max_body;
+        let deadline = tokio::time::sleep_until(deadline.into());
         let inner = Inner {
-            left: left.saturating_sub(prefix.len() as u64),
+            left: max_body.saturating_sub(prefix.len() as u64),
             prefix: Some(prefix).filter(|p| !p.is_empty()),
             rest: Some(rest),
             deadline: Box::pin(deadline),
