Callers: stalled heads end in their own time, bodies count as they arrive, last answers come in time

A head that trickles was bounded by the idle time. A body counted as held only once it was whole, so that many large ones that arrive slowly together could fill a VM. A request bounded by its caller's patience was answered up to 30 ms after its end. A test for the first found a fourth: a connection on which nothing was ever sent was never closed, as the HTTP server has nothing to end gracefully there.

Ruled out: the HTTP server's own time for heads, which begins with the idle time of a kept connection; a shorter time for servers, as the time for the last answer is cut instead.

Change: a connection knows since when a head arrives and ends with the configuration's time for heads; an unused one ends with the idle time. Bodies are counted frame by frame, read no longer than the request may take, and refused when all together pass the bound. The last answer leaves 5% of the patience, at most 25 ms, before its end; an answer that comes within the route's own time still has 30 ms.

Tests: three, all red before. The case with a patience of 300 ms asked for an answer at 300 ms or later; it asks for one between 270 and 300 now, which is stricter on what callers see.

--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -26,8 +26,6 @@
 
 /// Sends of one request that may end with a proof that it has not run.
 const MAX_SENDS: u32 = 5;
-/// Time by which an answer may follow the end of the time that a server was given.
-const LAST_ANSWER: Duration = Duration::from_millis(30);
 /// Silence, as a multiple of the expected time, after which a request may get a second server.
 const HEDGE_AFTER: f32 = 1.6;
 /// Least such silence: one answer in six takes longer than this.
@@ -129,7 +127,7 @@
     let mut fallback = None;
     let mut hedge_at: Option<Instant> = None;
     let mut placing = pin!(OptionFuture::from(Some(place(edge, job, Vec::new()))));
-    let last = edge.instant(job.deadline + LAST_ANSWER);
+    let last = edge.instant(job.last_answer);
     loop {
         let hedge_timer = OptionFuture::from(hedge_at.map(sleep_until));
         tokio::select! {
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -10,10 +10,9 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cuminspread::coordination::refusal::{self, Cause};
 use cuminspread::state::Name;
-use cuminspread::state::routing::CallerLimits;
 use cuminspread::state::time::Mono;
 use cuminspread_platform::headers::read_terms;
 use futures_util::stream;
@@ -22,7 +21,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -44,6 +43,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time for a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest margin for the way of an answer that comes at the end of a caller's patience: a round trip
+/// between data centres and the caller's own delay.
+const MAX_ANSWER_MARGIN: Duration = Duration::from_millis(25);
+/// Time by which an answer may follow the end of the time that a server was given.
+const LAST_ANSWER: Duration = Duration::from_millis(30);
 /// Smallest read buffer that the HTTP server allows.
 const MIN_HEAD: usize = 8192;
 
@@ -109,11 +113,13 @@
     let beginning = stream.beginning();
     let activity = Arc::new(Activity::default());
     activity.last.store(edge.now().0, Ordering::Relaxed);
+    let heads = beginning.clone();
     let service = {
         let (edge, activity, phase) = (Arc::clone(&edge), Arc::clone(&activity), phase.clone());
         service_fn(move |req| {
             let (edge, activity) = (Arc::clone(&edge), Arc::clone(&activity));
             let (beginning, phase) = (beginning.clone(), phase.clone());
+            beginning.note_head();
             async move {
                 activity.running.fetch_add(1, Ordering::AcqRel);
                 let _busy = Busy {
@@ -128,11 +134,19 @@
     let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut closing = false;
     let ended = loop {
+        let head_left = head_left(&edge, &heads);
         let idle = idle_left(&edge, &activity);
         tokio::select! {
             ended = conn.as_mut() => break ended,
-            () = sleep(idle), if !closing => {
-                if idle_left(&edge, &activity) == Duration::ZERO {
+            () = sleep(head_left.min(idle)), if !closing => {
+                let stalled = heads.head_age().is_some() && head_left == Duration::ZERO;
+                let idle = idle_left(&edge, &activity) == Duration::ZERO;
+                // Without a whole request the HTTP server has nothing to end gracefully.
+                if stalled || idle && heads.is_unused() {
+                    log::debug!("event=caller_connection_closed stalled={stalled}");
+                    return;
+                }
+                if idle {
                     closing = true;
                     conn.as_mut().graceful_shutdown();
                 }
@@ -163,6 +177,13 @@
     }
 }
 
+/// Time after which a connection's head has to be looked at: what is left for the one that is being
+/// read, or the whole time, in which none can run out.
+fn head_left(edge: &Edge, heads: &Beginning) -> Duration {
+    let limit = edge.table().routing().limits.head_timeout;
+    limit.saturating_sub(heads.head_age().unwrap_or_default())
+}
+
 /// Time for which a connection may stay idle from now on.
 fn idle_left(edge: &Edge, activity: &Activity) -> Duration {
     let limit = edge.table().routing().limits.idle_timeout;
@@ -237,8 +258,14 @@
     let service = service.ok_or_else(|| Fault::Refused(id.clone(), Cause::NoServer))?;
     edge.fleet().earn_retry(&service, &edge.platform);
     let (head, body) = req.into_parts();
-    let (body, guard) = read_body(edge, body, &table.routing().limits, &id).await?;
-    let time = terms.patience.unwrap_or(route.timeout).min(route.timeout);
+    let patience = terms.patience.map(|p| p.saturating_sub(answer_margin(p)));
+    let time = patience.unwrap_or(route.timeout).min(route.timeout);
+    let last = route.timeout + LAST_ANSWER;
+    let limits = BodyLimits {
+        size: table.routing().limits.max_body,
+        time: BODY_TIMEOUT.min(time),
+    };
+    let (body, guard) = read_body(edge, body, &limits, &id).await?;
     let target = head.uri.path_and_query().cloned();
     let job = Job {
         out: Outgoing {
@@ -253,6 +280,7 @@
         service,
         arrived,
         deadline: arrived + time,
+        last_answer: arrived + patience.map_or(last, |p| p.min(last)),
         running,
     };
     let (tx, rx) = oneshot::channel();
@@ -272,36 +300,100 @@
     })
 }
 
+/// Part of a caller's patience that is left for the way of the last answer.
+fn answer_margin(patience: Duration) -> Duration {
+    (patience / 20).min(MAX_ANSWER_MARGIN)
+}
+
 /// Bytes of a body that count as held until they are dropped.
-struct Held(Arc<Edge>, usize);
+struct Held {
+    edge: Arc<Edge>,
+    bytes: usize,
+}
+
+impl Held {
+    /// Counts more bytes; false if all bodies together are too large. One alone always fits.
+    fn grow(&mut self, more: usize) -> bool {
+        self.bytes += more;
+        let all = self.edge.buffered().fetch_add(more, Ordering::AcqRel) + more;
+        all <= self.edge.settings.callers.max_buffered || all == self.bytes
+    }
+}
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.0.buffered().fetch_sub(self.1, Ordering::AcqRel);
+        self.edge.buffered().fetch_sub(self.bytes, Ordering::AcqRel);
     }
 }
 
+/// Bounds on one body.
+struct BodyLimits {
+    /// Bytes.
+    size: usize,
+    time: Duration,
+}
+
+/// Reads a body whole; its bytes count as held from their arrival on.
 async fn read_body(
     edge: &Arc<Edge>,
     body: Incoming,
-    limits: &CallerLimits,
+    limits: &BodyLimits,
     id: &Name,
 ) -> Result<(Bytes, Held), Fault> {
-    let read = Limited::new(body, limits.max_body).collect();
-    let body = match timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            return Err(Fault::Bad(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
-        }
-        Ok(Err(_)) => return Err(Fault::Bad(StatusCode::BAD_REQUEST, "bad_body")),
-        Err(_) => return Err(Fault::Bad(StatusCode::REQUEST_TIMEOUT, "body_timeout")),
+    let mut held = Held {
+        edge: Arc::clone(edge),
+        bytes: 0,
+    };
+    let read = collect(body, limits.size, &mut held, id);
+    let body = match timeout(limits.time, read).await {
+        Ok(body) => body?,
+        Err(_elapsed) => return Err(Fault::Bad(StatusCode::REQUEST_TIMEOUT, "body_timeout")),
     };
-    let held = edge.buffered().fetch_add(body.len(), Ordering::AcqRel) + body.len();
-    let guard = Held(Arc::clone(edge), body.len());
-    if held > edge.settings.callers.max_buffered && held > body.len() {
-        return Err(Fault::Refused(id.clone(), Cause::NoRoom));
+    Ok((body, held))
+}
+
+async fn collect(
+    mut body: Incoming,
+    size: usize,
+    held: &mut Held,
+    id: &Name,
+) -> Result<Bytes, Fault> {
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(e) => {
+                log::debug!("event=body_broken id={id} cause={:?}", e.to_string());
+                return Err(Fault::Bad(StatusCode::BAD_REQUEST, "bad_body"));
+            }
+        };
+        // Trailers are dropped.
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if held.bytes + data.len() > size {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(Fault::Bad(status, "body_too_large"));
+        }
+        if !held.grow(data.len()) {
+            return Err(Fault::Refused(id.clone(), Cause::NoRoom));
+        }
+        // Most bodies come in one piece, which needs no copy.
+        if first.is_empty() {
+            first = data;
+        } else {
+            if rest.is_empty() {
+                rest.extend_from_slice(&first);
+            }
+            rest.extend_from_slice(&data);
+        }
     }
-    Ok((body, guard))
+    Ok(if rest.is_empty() {
+        first
+    } else {
+        rest.freeze()
+    })
 }
 
 fn respond(reply: Reply) -> Answer {
--- a/cuminspreadd/src/edge/job.rs
+++ b/cuminspreadd/src/edge/job.rs
@@ -28,8 +28,10 @@
     pub service: Name,
     /// Time of its arrival.
     pub arrived: Mono,
-    /// Time by which its caller gets a final answer.
+    /// End of the time that servers are given.
     pub deadline: Mono,
+    /// Time by which its caller gets a final answer.
+    pub last_answer: Mono,
     /// Counts the request.
     pub running: Running,
 }
--- a/cuminspreadd/src/framing.rs
+++ b/cuminspreadd/src/framing.rs
@@ -1,4 +1,4 @@
-//! Finds requests whose framing is ambiguous.
+//! Watches callers' connections: finds requests whose framing is ambiguous, and heads that stall.
 //!
 //! The HTTP server follows RFC 9112, section 6.1: of a length and an encoding it drops the length
 //! before anybody else sees it. Such a request is most often an attempt to hide a second one, so the
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -20,6 +21,8 @@
     bytes: Vec<u8>,
     /// An answer was written since.
     answered: bool,
+    /// When the head that is being read began.
+    head_began: Option<Instant>,
 }
 
 /// First bytes that came since the last answer.
@@ -32,11 +35,29 @@
         has_both(&self.lock().bytes)
     }
 
+    /// Notes that the head was read whole.
+    pub fn note_head(&self) {
+        self.lock().head_began = None;
+    }
+
+    /// Time for which a head has been arriving, if one is.
+    pub fn head_age(&self) -> Option<Duration> {
+        self.lock().head_began.map(|at| at.elapsed())
+    }
+
+    /// Whether nothing was read yet.
+    pub fn is_unused(&self) -> bool {
+        self.lock().bytes.is_empty()
+    }
+
     fn keep(&self, bytes: &[u8]) {
         let mut kept = self.lock();
         if std::mem::take(&mut kept.answered) {
             kept.bytes.clear();
         }
+        if kept.bytes.is_empty() {
+            kept.head_began = Some(Instant::now());
+        }
         let room = KEPT.saturating_sub(kept.bytes.len());
         kept.bytes
             .extend_from_slice(&bytes[..bytes.len().min(room)]);
