--- a/cuminspread/src/coordination/crash.rs
+++ b/cuminspread/src/coordination/crash.rs
@@ -1,8 +1,12 @@
 //! Finds requests that crash the servers that run them.
 //!
-//! An attempt that breaks without an answer, while the server loses its other connections too,
-//! counts as one crash of the request's fingerprint; an answer clears the count. After the second
-//! crash requests of the fingerprint are refused until the finding expires.
+//! An attempt that breaks without an answer, while the server is lost, counts as one crash of the
+//! request's fingerprint; an answer clears the count. After a few crashes requests of the fingerprint
+//! are refused until the finding expires.
+//!
+//! Load pattern: a request crashes its server, and its caller or a daemon sends it to the next one.
+//! Servers that are lost together, while each has a request of the same fingerprint, look alike, but
+//! there no send began after the crash before; crashes of sends that overlap count as one.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -33,9 +37,19 @@
     }
 }
 
+/// The end of a send whose server was lost with it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crash {
+    /// When the request was sent.
+    pub sent: Mono,
+    /// When the connection broke.
+    pub broke: Mono,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Suspect {
     crashes: u32,
+    last: Option<Crash>,
     expires: Mono,
     refused_until: Option<Mono>,
 }
@@ -56,6 +70,11 @@
         }
     }
 
+    /// Whether no fingerprint is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
     /// Requests of this fingerprint are refused now.
     pub fn refuses(&self, now: Mono, fingerprint: u64) -> bool {
         if self.suspects.is_empty() {
@@ -67,17 +86,24 @@
     }
 
     /// Notes a crash; returns whether the fingerprint is refused from now on.
-    pub fn note_crash(&mut self, now: Mono, fingerprint: u64) -> bool {
+    pub fn note_crash(&mut self, now: Mono, fingerprint: u64, crash: Crash) -> bool {
         self.make_room(now);
         let expires = now + self.settings.memory;
         let suspect = self.suspects.entry(fingerprint).or_insert(Suspect {
             crashes: 0,
+            last: None,
             expires,
             refused_until: None,
         });
         if now >= suspect.expires {
             suspect.crashes = 0;
+            suspect.last = None;
+        }
+        let apart = |last: Crash| crash.sent >= last.broke || last.sent >= crash.broke;
+        if !suspect.last.is_none_or(apart) {
+            return false;
         }
+        suspect.last = Some(crash);
         suspect.crashes += 1;
         suspect.expires = expires;
         if suspect.crashes < self.settings.crashes {
@@ -93,6 +119,7 @@
         let until = now + self.settings.refused_for;
         let suspect = Suspect {
             crashes: self.settings.crashes,
+            last: None,
             expires: until,
             refused_until: Some(until),
         };
--- a/cuminspread/src/coordination/dispatch/end.rs
+++ b/cuminspread/src/coordination/dispatch/end.rs
@@ -4,6 +4,7 @@
 
 use super::Dispatcher;
 use crate::coordination::attempt::{Cancelled, Stage, Try};
+use crate::coordination::crash::Crash;
 use crate::coordination::event::{
     Attempt, CallAction, CallId, Connection, Ending, Reason, ServerId, Verdict,
 };
@@ -142,7 +143,11 @@
         self.judge_server(now, &was, ending);
         let crashed = ending == Ending::Broken && was.stage == Stage::Waiting;
         if crashed {
-            self.note_crash(now, fingerprint, was.server, out);
+            let crash = Crash {
+                sent: was.sent,
+                broke: now,
+            };
+            self.note_crash(fingerprint, crash, was.server, out);
         }
         if finished {
             self.forget(id);
@@ -200,11 +205,12 @@
     }
 
     /// Counts a crash if the server lost all its connections or had only this attempt.
-    fn note_crash(&mut self, now: Mono, fingerprint: u64, id: u32, out: &mut Vec<CallAction>) {
+    fn note_crash(&mut self, fingerprint: u64, crash: Crash, id: u32, out: &mut Vec<CallAction>) {
+        let now = crash.broke;
         let server = &self.servers[id as usize];
         let quiet = now.since(server.last_byte) > CRASH_WINDOW;
         let dying = server.in_flight == 0 || server.failures > 1 || quiet;
-        if dying && self.crashes.note_crash(now, fingerprint) {
+        if dying && self.crashes.note_crash(now, fingerprint, crash) {
             out.push(CallAction::TellCrashing(fingerprint));
         }
     }
--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -29,6 +29,8 @@
     NoRoom,
     /// The daemon is about to stop; another one takes the request at once.
     Stopping,
+    /// Requests like this one crash the servers that run them.
+    Crashing,
 }
 
 impl Cause {
@@ -39,6 +41,7 @@
             Self::NoServer => "no_server",
             Self::NoRoom => "no_room",
             Self::Stopping => "stopping",
+            Self::Crashing => "crashing",
         }
     }
 }
@@ -51,6 +54,7 @@
         // On average half of the running work ends in half of its time.
         Cause::NoRoom => work / 2,
         Cause::Stopping => SHORTEST,
+        Cause::Crashing => LONGEST,
     };
     let spread = expected.mul_f64(rng.random_range(0.5..1.5));
     spread.clamp(SHORTEST, LONGEST)
--- a/cuminspread/src/protocol/bulletin.rs
+++ b/cuminspread/src/protocol/bulletin.rs
@@ -83,6 +83,22 @@
     pub relay: bool,
 }
 
+/// A request crashed the server that ran it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Random number that tells reports apart.
+    pub id: u64,
+    /// Hash of method, path and body.
+    pub fingerprint: u64,
+    /// Time from the send to the crash.
+    pub ran: Duration,
+    /// Time since the crash.
+    pub age: Duration,
+    /// The receiver passes it on to the peers of its data centre.
+    pub relay: bool,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -95,6 +111,8 @@
     Bulletin(Box<Bulletin>),
     /// The sender stops.
     Leaving(Daemon),
+    /// A request crashed a server.
+    Crash(CrashReport),
 }
 
 /// Asks for what is beyond the own extent.
--- /dev/null
+++ b/cuminspread/tests/crash.rs
@@ -0,0 +1,86 @@
+//! Which series of lost servers convict a request.
+
+use std::time::Duration;
+
+use cuminspread::coordination::crash::{Crash, CrashSettings, Crashes};
+use cuminspread::state::time::Mono;
+
+const FINGERPRINT: u64 = 7;
+
+struct Case {
+    what: &'static str,
+    /// Times of a send and of its crash, in milliseconds, in the order in which they are heard.
+    crashes: &'static [(u64, u64)],
+    /// Position of a crash after which the request gets an answer.
+    answered_after: Option<usize>,
+    refused: bool,
+}
+
+const CASES: [Case; 6] = [
+    Case {
+        what: "one server after the other",
+        crashes: &[(0, 100), (105, 200), (900, 1000)],
+        answered_after: None,
+        refused: true,
+    },
+    Case {
+        what: "two crashes",
+        crashes: &[(0, 100), (105, 200)],
+        answered_after: None,
+        refused: false,
+    },
+    Case {
+        what: "servers that are lost together",
+        crashes: &[(0, 500), (20, 500), (40, 501), (60, 502), (80, 499)],
+        answered_after: None,
+        refused: false,
+    },
+    Case {
+        what: "lost together twice, and once more",
+        crashes: &[(0, 500), (20, 500), (600, 900), (610, 901), (1000, 1100)],
+        answered_after: None,
+        refused: true,
+    },
+    Case {
+        what: "heard in another order",
+        crashes: &[(900, 1000), (105, 200), (1300, 1400)],
+        answered_after: None,
+        refused: true,
+    },
+    Case {
+        what: "an answer in between",
+        crashes: &[(0, 100), (105, 200), (900, 1000)],
+        answered_after: Some(1),
+        refused: false,
+    },
+];
+
+#[test]
+fn a_request_is_refused_after_three_crashes_in_a_row() {
+    for case in CASES {
+        let mut crashes = Crashes::new(CrashSettings {
+            crashes: 3,
+            refused_for: Duration::from_secs(10),
+            ..CrashSettings::default()
+        });
+        let ms = |ms: u64| Mono(ms * 1000);
+        for (i, (sent, broke)) in case.crashes.iter().enumerate() {
+            let crash = Crash {
+                sent: ms(*sent),
+                broke: ms(*broke),
+            };
+            crashes.note_crash(ms(1500), FINGERPRINT, crash);
+            if case.answered_after == Some(i) {
+                crashes.acquit(FINGERPRINT);
+            }
+        }
+        let what = case.what;
+        assert_eq!(
+            crashes.refuses(ms(1600), FINGERPRINT),
+            case.refused,
+            "{what}"
+        );
+        assert!(!crashes.refuses(ms(1600), FINGERPRINT + 1), "{what}");
+        assert!(!crashes.refuses(ms(12_000), FINGERPRINT), "{what}");
+    }
+}
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -11,6 +11,7 @@
 use cuminspread::coordination::placing::{End, Need};
 use cuminspread::coordination::refusal::{self, Cause};
 use cuminspread::state::Name;
+use cuminspread::state::time::Mono;
 use cuminspread_platform::headers::Marks;
 use futures_util::StreamExt as _;
 use futures_util::future::OptionFuture;
@@ -19,7 +20,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
 
-use super::exchange::{Sent, send};
+use super::crash;
+use super::exchange::{BROKEN, Sent, send};
 use super::job::{Job, Reply};
 use super::place::{Target, place};
 use super::state::{Edge, MOVED, ServerKey};
@@ -55,10 +57,11 @@
 
 /// A send that has begun; its end is noted when it is dropped, unless that was done before.
 struct Flight<'a> {
-    edge: &'a Edge,
+    edge: &'a Arc<Edge>,
     job: &'a Job,
     target: Target,
     ticket: u64,
+    sent: Mono,
     left: Duration,
     ended: bool,
     /// The request has its answer.
@@ -188,7 +191,7 @@
 }
 
 fn launch<'a>(
-    edge: &'a Edge,
+    edge: &'a Arc<Edge>,
     job: &'a Job,
     target: Target,
     answered: &'a AtomicBool,
@@ -229,6 +232,7 @@
         edge,
         job,
         ticket,
+        sent: now,
         left: job.deadline.since(now),
         target,
         ended: false,
@@ -284,6 +288,7 @@
     match sent {
         Sent::Whole(head, body, marks) => {
             let failed = head.status.is_server_error();
+            flight.edge.crash_watch().acquit(&flight.job.out);
             note_room(flight, &marks);
             flight.end(End::Answered { failed });
             let reply = Reply::Whole(head, body);
@@ -323,6 +328,11 @@
             }
         }
         Sent::Unknown(detail) => {
+            if detail == BROKEN {
+                let ran = flight.edge.now().since(flight.sent);
+                let address = flight.target.upstream.address();
+                crash::check(flight.edge, address, &flight.job.out, ran);
+            }
             flight.end(End::Silent);
             if idempotent {
                 return Judged::Again {
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -16,7 +16,7 @@
 use cuminspread::coordination::catalog::{Catalog, Change, Dated};
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{Reader, Role};
-use cuminspread::protocol::bulletin::{Daemon, Extent, Notice, Supply};
+use cuminspread::protocol::bulletin::{CrashReport, Daemon, Extent, Notice, Supply};
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip::{self, Gossip};
 use cuminspread_platform::store::{ReadError, Reading, Servers, Store};
@@ -219,6 +219,30 @@
         }
     }
 
+    /// Tells peers that a request crashed a server; relays pass it on in their data centres.
+    fn send_crash(&self, k: &mut Knowledge, report: CrashReport) {
+        for (peers, relay) in [(k.mesh.near(), false), (k.mesh.relays(), true)] {
+            let notice = Notice::Crash(CrashReport { relay, ..report });
+            for peer in peers {
+                self.gossip.send(peer, &notice);
+            }
+        }
+    }
+
+    fn take_crash(&self, report: CrashReport) {
+        if !self.edge.crash_watch().take(self.edge.now(), &report) || !report.relay {
+            return;
+        }
+        let near = self.lock().mesh.near();
+        let notice = Notice::Crash(CrashReport {
+            relay: false,
+            ..report
+        });
+        for peer in near {
+            self.gossip.send(peer, &notice);
+        }
+    }
+
     /// Does what is due; gives the time of the next thing.
     fn run_due(self: &Arc<Self>) -> Mono {
         let now = self.edge.now();
@@ -228,6 +252,10 @@
             log::warn!("event=paused for_ms={}", late.as_millis());
             k.reader.resumed(now);
         }
+        let crashes = self.edge.crash_watch().take_untold(now);
+        for report in crashes {
+            self.send_crash(&mut k, report);
+        }
         let greet = k.mesh.greet(now);
         if !greet.is_empty() {
             let hello = Notice::Hello(k.mesh.me().clone());
--- a/cuminspreadd/src/edge/control/news.rs
+++ b/cuminspreadd/src/edge/control/news.rs
@@ -156,6 +156,7 @@
             }
             Notice::Bulletin(bulletin) => self.take_bulletin(from, &bulletin),
             Notice::Leaving(daemon) => self.lock().mesh.left(&daemon),
+            Notice::Crash(report) => self.take_crash(report),
         }
     }
 
--- /dev/null
+++ b/cuminspreadd/src/edge/crash.rs
@@ -0,0 +1,157 @@
+//! Requests that crash servers: what one daemon sees, and what it hears of others.
+//!
+//! A connection that breaks without an answer may be a fault of the network or of that request alone.
+//! If the server then refuses connections, it is down, and the request may have been the cause. Such
+//! reports go to all daemons, since the next send of the request mostly goes out from another one.
+
+use std::collections::VecDeque;
+use std::hash::{BuildHasher as _, RandomState};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminspread::coordination::crash::{Crash, CrashSettings, Crashes};
+use cuminspread::protocol::bulletin::CrashReport;
+use cuminspread::state::council::Digest;
+use cuminspread::state::time::Mono;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use super::exchange::Outgoing;
+use super::state::Edge;
+
+/// Time for a crashed server's listener to close.
+const CLOSING: Duration = Duration::from_millis(20);
+/// Longest time for a connection that shows whether a server is there.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Servers that are checked at once at most.
+const MAX_CHECKS: usize = 8;
+/// Reports that are told apart at most.
+const MAX_REPORTS: usize = 512;
+
+/// What is known of requests that crash servers.
+#[derive(Debug)]
+pub struct CrashWatch {
+    crashes: Crashes,
+    heard: VecDeque<u64>,
+    /// Own reports that peers were not yet told.
+    untold: Vec<(Mono, CrashReport)>,
+    checks: usize,
+    /// Differs from daemon to daemon, whatever their settings.
+    ids: RandomState,
+}
+
+impl Default for CrashWatch {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl CrashWatch {
+    /// Watch that knows nothing yet.
+    pub fn new() -> Self {
+        Self {
+            crashes: Crashes::new(CrashSettings {
+                // The rules allow a few more runs after the third.
+                crashes: 3,
+                memory: Duration::from_secs(60),
+                refused_for: Duration::from_secs(60),
+                ..CrashSettings::default()
+            }),
+            heard: VecDeque::new(),
+            untold: Vec::new(),
+            checks: 0,
+            ids: RandomState::new(),
+        }
+    }
+
+    /// Whether requests like this one are refused.
+    pub fn refuses(&self, now: Mono, out: &Outgoing) -> bool {
+        !self.crashes.is_empty() && self.crashes.refuses(now, fingerprint(out))
+    }
+
+    /// A request like this one got an answer.
+    pub fn acquit(&mut self, out: &Outgoing) {
+        if !self.crashes.is_empty() {
+            self.crashes.acquit(fingerprint(out));
+        }
+    }
+
+    /// Takes a report; false if it was heard before.
+    pub fn take(&mut self, now: Mono, report: &CrashReport) -> bool {
+        if self.heard.contains(&report.id) {
+            return false;
+        }
+        self.heard.push_back(report.id);
+        if self.heard.len() > MAX_REPORTS {
+            self.heard.pop_front();
+        }
+        let broke = now - report.age;
+        let crash = Crash {
+            sent: broke - report.ran,
+            broke,
+        };
+        let refused = self.crashes.note_crash(now, report.fingerprint, crash);
+        log::warn!(
+            "event=request_crashed_server fingerprint={:016x} report={:016x} age_ms={} refused={refused}",
+            report.fingerprint,
+            report.id,
+            report.age.as_millis()
+        );
+        true
+    }
+
+    /// Reports that peers are to be told now.
+    pub fn take_untold(&mut self, now: Mono) -> Vec<CrashReport> {
+        let untold = self.untold.drain(..);
+        let aged = untold.map(|(at, report)| CrashReport {
+            age: now.since(at),
+            ..report
+        });
+        aged.collect()
+    }
+}
+
+/// Checks whether a server whose connection broke is down; then the request that it ran is reported.
+pub fn check(edge: &Arc<Edge>, address: SocketAddr, out: &Outgoing, ran: Duration) {
+    {
+        let mut watch = edge.crash_watch();
+        if watch.checks >= MAX_CHECKS {
+            return;
+        }
+        watch.checks += 1;
+    }
+    let (edge, fingerprint, broke) = (Arc::clone(edge), fingerprint(out), edge.now());
+    tokio::spawn(async move {
+        sleep(CLOSING).await;
+        let connected = timeout(CONNECT, TcpStream::connect(address)).await;
+        let refused = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
+        let down = matches!(&connected, Ok(Err(e)) if refused(e));
+        let now = edge.now();
+        let mut watch = edge.crash_watch();
+        watch.checks -= 1;
+        if down {
+            let report = CrashReport {
+                id: watch.ids.hash_one(broke),
+                fingerprint,
+                ran,
+                age: now.since(broke),
+                relay: false,
+            };
+            watch.take(now, &report);
+            watch.untold.push((broke, report));
+        }
+    });
+}
+
+/// Hash of what decides how a server runs a request.
+fn fingerprint(out: &Outgoing) -> u64 {
+    let target = out.target.path_and_query().map_or("", |t| t.as_str());
+    let mut buf = Vec::with_capacity(target.len() + out.body.len() + 16);
+    for part in [out.method.as_str().as_bytes(), target.as_bytes(), &out.body] {
+        buf.extend_from_slice(part);
+        buf.push(0);
+    }
+    let digest = Digest::of(&buf);
+    u64::from_le_bytes(digest.0.first_chunk().copied().unwrap_or_default())
+}
--- a/cuminspreadd/src/edge/exchange.rs
+++ b/cuminspreadd/src/edge/exchange.rs
@@ -19,6 +19,9 @@
 /// Refusals are short; what is longer is no refusal that the connection survives.
 const MAX_REFUSAL: usize = 64 << 10;
 
+/// Cause of a send whose connection broke before any answer.
+pub const BROKEN: &str = "broken";
+
 /// A request as it goes to servers; the same for all sends.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -75,7 +78,7 @@
             return if written.count() == 0 {
                 Sent::NotRun("not_written", None)
             } else {
-                Sent::Unknown("broken")
+                Sent::Unknown(BROKEN)
             };
         }
     };
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -283,6 +283,9 @@
         last_answer: arrived + patience.map_or(last, |p| p.min(last)),
         running,
     };
+    if edge.crash_watch().refuses(edge.now(), &job.out) {
+        return Err(Fault::Refused(job.out.id, Cause::Crashing));
+    }
     let (tx, rx) = oneshot::channel();
     let id = job.out.id.clone();
     let edge = Arc::clone(edge);
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -19,6 +19,7 @@
 use rand_pcg::Pcg32;
 use tokio::sync::Notify;
 
+use super::crash::CrashWatch;
 use super::metrics::EdgeMetrics;
 use super::settings::EdgeSettings;
 use crate::settings::Settings;
@@ -144,6 +145,7 @@
     /// Versions before the one in force, newest last.
     earlier: Mutex<VecDeque<Arc<Routing>>>,
     fleet: Mutex<Fleet>,
+    crash_watch: Mutex<CrashWatch>,
     stopping: AtomicBool,
     handing_back: AtomicBool,
     registry_known: AtomicBool,
@@ -179,6 +181,7 @@
             table: RwLock::default(),
             earlier: Mutex::default(),
             fleet: Mutex::new(Fleet::new(seed)),
+            crash_watch: Mutex::default(),
             stopping: AtomicBool::new(false),
             handing_back: AtomicBool::new(false),
             registry_known: AtomicBool::new(false),
@@ -251,6 +254,13 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What is known of requests that crash servers.
+    pub fn crash_watch(&self) -> MutexGuard<'_, CrashWatch> {
+        self.crash_watch
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A whole copy of the registry was read.
     pub fn set_registry_known(&self) {
         self.registry_known.store(true, Ordering::Release);
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -6,6 +6,8 @@
 #[path = "daemon/caller.rs"]
 #[allow(dead_code, reason = "shared with the tests of the other daemon")]
 mod caller;
+#[path = "edge/crash.rs"]
+mod crash;
 #[path = "edge/news.rs"]
 mod news;
 #[path = "edge/placing.rs"]
