Fuzzing of what is read on a platform with a store; a server that says it has very many requests is full

The corpus found at once that running and waiting requests of a server were added without a bound: a server that says it has waiting would have counted as free in a release build. The sum is capped now.

--- a/cuminspread/src/coordination/placing/standing.rs
+++ b/cuminspread/src/coordination/placing/standing.rs
@@ -19,6 +19,13 @@
     pub slowness: f32,
 }
 
+impl Room {
+    /// Requests that it has; a server may say anything.
+    pub fn taken(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// A request that a server has.
 #[derive(Debug, Clone, Copy)]
 struct Flight {
@@ -379,7 +386,7 @@
         let own = i64::from(self.slots) - self.flights.len() as i64;
         match self.room {
             Some((at, room)) if now.since(at) < settings.report_life => {
-                let taken = room.running + room.waiting + self.unreported;
+                let taken = room.taken().saturating_add(self.unreported);
                 own.min(i64::from(room.slots) - i64::from(taken))
             }
             _ => own,
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -516,7 +516,7 @@
             return;
         };
         server.standing.note_room(now, room, healthy);
-        if room.running + room.waiting < room.slots
+        if room.taken() < room.slots
             && let Some(queue) = self.lines.get_mut(&server.entry.service)
         {
             queue.wake(now);
--- a/fuzz/src/main.rs
+++ b/fuzz/src/main.rs
@@ -13,8 +13,8 @@
     let corpus = args
         .get_one::<String>("corpus")
         .map_or("fuzz/corpus", String::as_str);
-    if args.get_flag("write-datagrams") {
-        return write_datagrams(&Path::new(corpus).join(Target::Datagram.label()));
+    if args.get_flag("write-seeds") {
+        return write_seeds(Path::new(corpus));
     }
     let seed = args.get_one("seed").copied().unwrap_or(1);
     let count = args.get_one("count").copied().unwrap_or(100_000);
@@ -45,10 +45,10 @@
                 .value_parser(value_parser!(u64)),
         )
         .arg(
-            Arg::new("write-datagrams")
-                .long("write-datagrams")
+            Arg::new("write-seeds")
+                .long("write-seeds")
                 .action(ArgAction::SetTrue)
-                .help("Writes the corpus of datagrams after a change of the wire format"),
+                .help("Writes the seeds of the corpus after a change of a wire format"),
         )
 }
 
@@ -69,12 +69,21 @@
         .collect()
 }
 
-fn write_datagrams(folder: &Path) -> anyhow::Result<()> {
+fn write_seeds(corpus: &Path) -> anyhow::Result<()> {
     for seed in seeds::datagrams() {
-        let path = folder.join(seed.name);
-        let place = || format!("step=write_datagrams file={}", path.display());
-        let data = postcard::to_extend(&seed.envelope, Vec::new()).with_context(place)?;
-        fs::write(&path, data).with_context(place)?;
+        let data = postcard::to_extend(&seed.envelope, Vec::new());
+        let data = data.with_context(|| format!("step=encode file={}", seed.name))?;
+        write(corpus, Target::Datagram, seed.name, &data)?;
+    }
+    for file in seeds::files() {
+        write(corpus, file.target, file.name, &file.data)?;
     }
     Ok(())
 }
+
+fn write(corpus: &Path, target: Target, name: &str, data: &[u8]) -> anyhow::Result<()> {
+    let folder = corpus.join(target.label());
+    let place = || format!("step=write_seeds folder={} file={name}", folder.display());
+    fs::create_dir_all(&folder).with_context(place)?;
+    fs::write(folder.join(name), data).with_context(place)
+}
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -1,10 +1,24 @@
-//! Datagrams that the corpus starts from.
+//! What the corpus starts from.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminspread::coordination::catalog::{Change, Dated, Entry};
+use cuminspread::protocol::bulletin::{
+    Bulletin, CrashReport, Daemon, Extent, NewRouting, Notice, Registry, Sighting, Supply,
+};
 use cuminspread::protocol::envelope::{Envelope, Head};
 use cuminspread::protocol::member::{ListMark, Liveness, MemberMessage, MemberUpdate};
 use cuminspread::protocol::message::Message;
 use cuminspread::protocol::news::{NewsItem, NewsMessage};
+use cuminspread::state::routing::Routing;
 use cuminspread::state::time::Wall;
+use cuminspread_platform::config;
+use cuminspread_platform::standin::store::{RouteRow, config_text};
+use serde::Serialize;
+
+use crate::target::Target;
 
 /// A datagram and the name of its corpus file.
 #[derive(Debug)]
@@ -53,3 +67,116 @@
     let envelope = Envelope { head, message };
     Seed { name, envelope }
 }
+
+/// A file of the corpus.
+#[derive(Debug)]
+pub struct File {
+    /// Target.
+    pub target: Target,
+    /// File name.
+    pub name: &'static str,
+    /// Contents.
+    pub data: Vec<u8>,
+}
+
+/// What daemons send each other where no list of them is published, and what they read there.
+pub fn files() -> Vec<File> {
+    let daemon = Daemon {
+        address: SocketAddr::from(([10, 1, 0, 7], 7001)),
+        data_centre: "hall".into(),
+        started: 1_700_000_000_000,
+        capacity: 10,
+    };
+    let sighting = Sighting {
+        daemon: daemon.clone(),
+        age: 12,
+    };
+    let entry = Entry {
+        id: "i-1".into(),
+        service: "orders".into(),
+        address: SocketAddr::from(([10, 1, 0, 9], 8000)),
+        data_centre: "hall".into(),
+        slots: 6,
+        draining: false,
+        warm_up: Duration::from_secs(2),
+        born: 3,
+        sequence: 4,
+    };
+    let changes = vec![
+        Dated {
+            revision: 7,
+            change: Change::Reported(entry.clone()),
+        },
+        Dated {
+            revision: 8,
+            change: Change::Removed {
+                id: "i-2".into(),
+                lapsed: true,
+            },
+        },
+    ];
+    let text = config_text(3, &[RouteRow::default()], 15.0);
+    let routing = config::decode(text.as_bytes()).unwrap_or_default();
+    let base = Routing {
+        version: 2,
+        ..Routing::default()
+    };
+    let delta = routing.delta_from(&base);
+    let bulletin = Bulletin {
+        reader: daemon.clone(),
+        age: Duration::from_millis(40),
+        extent: Extent {
+            revision: 8,
+            version: 3,
+        },
+        base: 6,
+        changes: changes.clone(),
+        routing: Some(delta.clone()),
+        holds: true,
+        relay: true,
+    };
+    let crash = CrashReport {
+        id: 1,
+        fingerprint: 2,
+        ran: Duration::from_millis(80),
+        age: Duration::from_millis(20),
+        relay: false,
+    };
+    let notices = [
+        ("hello", Notice::Hello(daemon.clone())),
+        ("peers", Notice::Peers(vec![sighting.clone()])),
+        ("bulletin", Notice::Bulletin(Box::new(bulletin))),
+        ("leaving", Notice::Leaving(daemon)),
+        ("crash", Notice::Crash(crash)),
+    ];
+    let supply = |routing, registry| Supply {
+        routing: Some(routing),
+        registry: Some(registry),
+        revision: 8,
+        busy: false,
+        peers: vec![sighting.clone()],
+    };
+    let whole = NewRouting::Whole(Arc::new(routing));
+    let supplies = [
+        ("copy", supply(whole, Registry::Copy(vec![(7, entry)]))),
+        (
+            "changes",
+            supply(NewRouting::Delta(delta), Registry::Changes(changes)),
+        ),
+    ];
+    let notices = notices.map(|(name, n)| file(Target::Notice, name, &n));
+    let supplies = supplies.map(|(name, s)| file(Target::Supply, name, &s));
+    let mut files: Vec<File> = notices.into_iter().chain(supplies).collect();
+    files.push(File {
+        target: Target::Routing,
+        name: "one-route",
+        data: text.into_bytes(),
+    });
+    files
+}
+
+fn file<T: Serialize>(target: Target, name: &'static str, value: &T) -> File {
+    // Only types that don't fail are passed.
+    let data = postcard::to_stdvec(value).unwrap_or_default();
+    File { target, name, data }
+}
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -1,9 +1,23 @@
 //! Parsers under test, and the rules that they are held to.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminspread::coordination::catalog::{Catalog, Change, Dated};
+use cuminspread::coordination::crash::{Crash, CrashSettings, Crashes};
+use cuminspread::coordination::mesh::{Mesh, MeshSettings};
+use cuminspread::coordination::placing::{Need, PlacingSettings, Standing};
+use cuminspread::protocol::bulletin::{Daemon, NewRouting, Notice, Registry, Supply};
 use cuminspread::protocol::envelope::{Dropped, Envelope, FORMAT, Sealer};
 use cuminspread::protocol::header::{format_load, parse_load};
 use cuminspread::record::{Compare, replay};
 use cuminspread::state::folder::{FolderFile, merge};
+use cuminspread::state::routing::{RouteTable, Routing, RoutingDelta};
+use cuminspread::state::time::Mono;
+use cuminspread_platform::headers::{read_health, read_marks};
+use cuminspread_platform::{config, registry};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 /// Secret that the datagram target seals with.
 const SECRET: &str = "fuzz";
@@ -24,11 +38,31 @@
     Header,
     /// Trace of a daemon's state machines.
     Trace,
+    /// Datagram of a peer where no list of daemons is published.
+    Notice,
+    /// Answer of a peer to a pull.
+    Supply,
+    /// Server's entry in the store.
+    Entry,
+    /// Configuration in the store.
+    Routing,
+    /// Head of a server's answer: a status of three digits, then header lines.
+    Answer,
 }
 
 impl Target {
     /// All targets.
-    pub const ALL: [Self; 4] = [Self::Folder, Self::Datagram, Self::Header, Self::Trace];
+    pub const ALL: [Self; 9] = [
+        Self::Folder,
+        Self::Datagram,
+        Self::Header,
+        Self::Trace,
+        Self::Notice,
+        Self::Supply,
+        Self::Entry,
+        Self::Routing,
+        Self::Answer,
+    ];
 
     /// Name of the target's corpus folder.
     pub fn label(self) -> &'static str {
@@ -37,6 +71,11 @@
             Self::Datagram => "datagram",
             Self::Header => "header",
             Self::Trace => "trace",
+            Self::Notice => "notice",
+            Self::Supply => "supply",
+            Self::Entry => "entry",
+            Self::Routing => "routing",
+            Self::Answer => "answer",
         }
     }
 
@@ -51,6 +90,11 @@
             Self::Datagram => datagram(data),
             Self::Header => header(data),
             Self::Trace => trace(data),
+            Self::Notice => notice(data),
+            Self::Supply => supply(data),
+            Self::Entry => entry(data),
+            Self::Routing => routing(data),
+            Self::Answer => answer(data),
         }
     }
 }
@@ -117,3 +161,181 @@
     assert_eq!(first.difference, again.difference);
     assert_eq!(first.damage, again.damage);
 }
+
+/// Time at which targets run.
+const NOW: Mono = Mono(1_000_000_000);
+
+/// What a notice brings is taken in by the parts that a daemon gives it to, none of which may panic
+/// or keep more than the notice holds.
+fn notice(data: &[u8]) {
+    let Ok(notice) = postcard::from_bytes::<Notice>(data) else {
+        return;
+    };
+    let mut mesh = mesh();
+    match notice {
+        Notice::Hello(daemon) => {
+            mesh.heard(NOW, &daemon);
+            mesh.sample(NOW, &daemon.data_centre);
+        }
+        Notice::Peers(sightings) => {
+            let new = mesh.named(NOW, &sightings);
+            assert!(new.len() <= sightings.len());
+            assert!(mesh.size() <= 1 + sightings.len());
+        }
+        Notice::Bulletin(bulletin) => {
+            bulletin.reader.rank();
+            let (base, extent) = (bulletin.base, bulletin.extent);
+            let mut catalog = Catalog::default();
+            take_changes(&mut catalog, bulletin.changes);
+            catalog.complete(extent.revision);
+            catalog.since(base);
+            if let Some(delta) = bulletin.routing {
+                take_delta(delta);
+            }
+        }
+        Notice::Leaving(daemon) => mesh.left(&daemon),
+        Notice::Crash(report) => {
+            let broke = NOW - report.age;
+            let crash = Crash {
+                sent: broke - report.ran,
+                broke,
+            };
+            let mut crashes = Crashes::new(CrashSettings::default());
+            crashes.note_crash(NOW, report.fingerprint, crash);
+        }
+    }
+    mesh.greet(NOW);
+    mesh.relays();
+}
+
+fn mesh() -> Mesh {
+    let me = Daemon {
+        address: SocketAddr::from(([127, 0, 0, 1], 7001)),
+        data_centre: "hall".into(),
+        started: 1,
+        capacity: 10,
+    };
+    Mesh::new(MeshSettings::default(), me, Vec::new(), 1)
+}
+
+fn take_changes(catalog: &mut Catalog, changes: Vec<Dated>) {
+    let count = changes.len();
+    for dated in changes {
+        catalog.apply(NOW, dated);
+    }
+    assert!(catalog.entries().count() <= count);
+    catalog.sweep(NOW + Duration::from_secs(60));
+}
+
+/// A change of the configuration applies only to the version that it names.
+fn take_delta(delta: RoutingDelta) {
+    let base = Routing {
+        version: delta.base,
+        ..Routing::default()
+    };
+    let version = delta.version;
+    if let Some(next) = base.with(delta) {
+        assert_eq!(next.version, version);
+        find_all(next);
+    }
+}
+
+/// Every route that is in force is found by its own prefix.
+fn find_all(routing: Routing) {
+    let table = RouteTable::new(Arc::new(routing));
+    for route in &table.routing().routes {
+        table.find(&route.host, &route.prefix);
+    }
+    assert!(table.find("", "").is_none() || !table.routing().routes.is_empty());
+}
+
+fn supply(data: &[u8]) {
+    let Ok(supply) = postcard::from_bytes::<Supply>(data) else {
+        return;
+    };
+    let mut catalog = Catalog::default();
+    match supply.registry {
+        Some(Registry::Copy(copy)) => {
+            let count = copy.len();
+            catalog.reconcile(NOW, supply.revision, copy, true);
+            assert!(catalog.entries().count() <= count);
+        }
+        Some(Registry::Changes(changes)) => take_changes(&mut catalog, changes),
+        None => {}
+    }
+    catalog.complete(supply.revision);
+    match supply.routing {
+        Some(NewRouting::Whole(routing)) => find_all(Arc::unwrap_or_clone(routing)),
+        Some(NewRouting::Delta(delta)) => take_delta(delta),
+        None => {}
+    }
+    mesh().named(NOW, &supply.peers);
+}
+
+/// An entry is a server's own or none; as one it is kept under its id.
+fn entry(data: &[u8]) {
+    let Some(entry) = registry::decode("i-1", data) else {
+        return;
+    };
+    assert_eq!(&*entry.id, "i-1");
+    let standing = Standing::new(true, entry.slots, NOW + entry.warm_up);
+    check_score(&standing);
+    let mut catalog = Catalog::default();
+    let dated = Dated {
+        revision: 5,
+        change: Change::Reported(entry.clone()),
+    };
+    assert!(catalog.apply(NOW, dated));
+    assert_eq!(catalog.entry("i-1"), Some(&entry));
+}
+
+/// A configuration is taken whole or refused, and a refusal says why.
+fn routing(data: &[u8]) {
+    match config::decode(data) {
+        Ok(routing) => {
+            assert!(routing.version > 0);
+            find_all(routing);
+        }
+        Err(fault) => assert!(!fault.to_string().is_empty()),
+    }
+}
+
+/// Whatever a server says of itself, its score is a number, and a proof needs a field or status.
+fn answer(data: &[u8]) {
+    let text = String::from_utf8_lossy(data);
+    let mut lines = text.lines();
+    let status = lines.next().and_then(|l| l.parse::<u16>().ok());
+    let status = status.and_then(|s| StatusCode::from_u16(s).ok());
+    let status = status.unwrap_or(StatusCode::OK);
+    let mut fields = HeaderMap::new();
+    for (name, value) in lines.filter_map(|l| l.split_once(':')) {
+        let name = HeaderName::try_from(name);
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::try_from(value.trim())) {
+            fields.append(name, value);
+        }
+    }
+    let marks = read_marks(status, &fields, "attempt-1");
+    if fields.is_empty() {
+        assert!(!marks.signed && marks.own.is_none() && marks.not_run == marks.misdirected);
+    }
+    let health = read_health(status, &fields);
+    for room in [marks.room, health.room].into_iter().flatten() {
+        let mut standing = Standing::new(true, 4, NOW);
+        standing.note_room(NOW, room, Some(health.healthy));
+        check_score(&standing);
+    }
+}
+
+fn check_score(standing: &Standing) {
+    let need = Need {
+        now: NOW,
+        work: Duration::from_millis(100),
+        aim_left: Duration::from_millis(300),
+        time_left: Duration::from_secs(1),
+        blind: false,
+        crowding: 1.0,
+        contended: false,
+    };
+    let score = standing.score(&need, &PlacingSettings::default());
+    assert!(score.is_finite(), "{score}");
+}
--- a/fuzz/tests/seed_corpus.rs
+++ b/fuzz/tests/seed_corpus.rs
@@ -1,4 +1,4 @@
-//! The wire format is the one of the committed datagrams.
+//! The wire formats are those of the committed corpus.
 
 use std::fs;
 use std::path::Path;
@@ -15,3 +15,13 @@
         assert_eq!(envelope.as_ref(), Ok(&seed.envelope), "{}", seed.name);
     }
 }
+
+#[test]
+fn files_are_as_committed() {
+    let corpus = Path::new(env!("CARGO_MANIFEST_DIR")).join("corpus");
+    for file in seeds::files() {
+        let path = corpus.join(file.target.label()).join(file.name);
+        let data = fs::read(&path).expect("the corpus is committed");
+        assert!(data == file.data, "{} differs", path.display());
+    }
+}
