The tool's status, servers, versions and top speak of daemons on a platform with a store, with ages

Cause: they read the other mode's status only, so that an operator there had `fleet` and raw JSON.

Change: the tool tells the two kinds of status apart. The daemon's status names the time since its version came into force, the daemon that read the store last, and each peer with the time since anybody heard it. The JSON of `status` stays a list.

--- a/cumin/src/admin.rs
+++ b/cumin/src/admin.rs
@@ -8,9 +8,21 @@
 
 use cuminspreadd::admin::{Explanation, Question, Status};
 use cuminspreadd::edge::admin as edge;
+use serde::Deserialize;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
+/// State of a daemon, by where it learns of routes and servers.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(untagged)]
+pub(crate) enum AnyStatus {
+    /// From a folder and a published list.
+    Folder(Box<Status>),
+    /// From a store.
+    Store(Box<edge::Status>),
+}
+
 /// One daemon.
 #[derive(Debug)]
 pub(crate) struct Admin {
@@ -35,7 +47,7 @@
     }
 
     /// Its state.
-    pub(crate) async fn status(&self) -> anyhow::Result<Status> {
+    pub(crate) async fn status(&self) -> anyhow::Result<AnyStatus> {
         self.json("/status", &[]).await
     }
 
--- a/cumin/src/counters.rs
+++ b/cumin/src/counters.rs
@@ -2,12 +2,16 @@
 
 use std::collections::BTreeMap;
 
-const CALLS: &str = "cumin_calls_total{";
+/// Calls where routes come from a folder, and where they come from a store.
+const CALLS: [&str; 2] = ["cumin_calls_total{", "cumin_requests_total{"];
+
+/// Outcomes of calls that a server answered.
+const SERVED: [&str; 3] = ["ran", "served", "passed_on"];
 
 /// Calls of one service that ended in one way.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct CallKey {
-    /// Council.
+    /// Council; empty where routes come from a store.
     pub(crate) council: String,
     /// Service.
     pub(crate) service: String,
@@ -19,7 +23,8 @@
 
 /// Calls since the daemon's start.
 pub(crate) fn calls(metrics: &str) -> BTreeMap<CallKey, u64> {
-    let lines = metrics.lines().filter_map(|l| l.strip_prefix(CALLS));
+    let counted = |l| CALLS.iter().find_map(|name| str::strip_prefix(l, *name));
+    let lines = metrics.lines().filter_map(counted);
     lines.filter_map(parse).collect()
 }
 
@@ -42,7 +47,10 @@
 /// Sums of the calls that weren't run or whose outcome is unknown, by outcome and reason.
 pub(crate) fn refusals(calls: &BTreeMap<CallKey, u64>) -> BTreeMap<String, u64> {
     let mut sums = BTreeMap::new();
-    for (key, count) in calls.iter().filter(|(k, _)| k.outcome != "ran") {
+    for (key, count) in calls
+        .iter()
+        .filter(|(k, _)| !SERVED.contains(&k.outcome.as_str()))
+    {
         let name = format!("{}/{}", key.outcome, key.reason);
         *sums.entry(name).or_default() += count;
     }
--- a/cumin/src/fleet.rs
+++ b/cumin/src/fleet.rs
@@ -37,12 +37,17 @@
     })
 }
 
-fn print(status: &Status) {
+/// Prints what one daemon believes.
+pub(crate) fn print(status: &Status) {
     let state = match (status.stopping, status.ready) {
         (true, _) => "stopping",
         (false, true) => "ready",
         (false, false) => "not ready",
     };
+    let in_force = match status.in_force_ms {
+        Some(age) => format!(", in force for {age} ms"),
+        None => String::new(),
+    };
     let store = match status.store_age_ms {
         Some(age) => format!("read {age} ms ago"),
         None => "not read yet".to_owned(),
@@ -53,7 +58,7 @@
         ""
     };
     println!(
-        "{} in {}: {state}, {} requests in flight, version {} with {} routes, store {store}{reader}, \
+        "{} in {}: {state}, {} requests in flight, version {} with {} routes{in_force}, store {store}{reader}, \
          revision {}, {} daemons",
         status.name,
         status.data_centre,
--- a/cumin/src/show.rs
+++ b/cumin/src/show.rs
@@ -5,18 +5,33 @@
 
 use clap::ArgMatches;
 use serde::Serialize;
+use serde_json::json;
 
 use cuminspreadd::admin::{Question, Status};
 
-use crate::admin::Admin;
+use cuminspreadd::edge::admin as edge;
+
+use crate::admin::{Admin, AnyStatus};
 use crate::counters;
+use crate::fleet;
+
+/// Heading for the versions of all routes, where a store names them.
+const ROUTES: &str = "routes";
 
 #[derive(Serialize)]
-struct DaemonReport {
-    status: Status,
+struct DaemonReport<S> {
+    status: S,
     refused: BTreeMap<String, u64>,
 }
 
+/// Report of one daemon, by where it learns of routes.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Report {
+    Folder(DaemonReport<Box<Status>>),
+    Store(DaemonReport<Box<edge::Status>>),
+}
+
 /// Says how the daemons are; fails if one broke an invariant.
 pub(crate) async fn status(daemons: &[Admin], json: bool) -> anyhow::Result<ExitCode> {
     let mut reports = Vec::new();
@@ -24,14 +39,21 @@
         let status = daemon.status().await?;
         let calls = counters::calls(&daemon.metrics().await?);
         let refused = counters::refusals(&calls);
-        reports.push(DaemonReport { status, refused });
+        reports.push(match status {
+            AnyStatus::Folder(status) => Report::Folder(DaemonReport { status, refused }),
+            AnyStatus::Store(status) => Report::Store(DaemonReport { status, refused }),
+        });
     }
     if json {
         print_json(&reports)?;
     } else {
         reports.iter().for_each(print_status);
     }
-    let broken = reports.iter().any(|r| !broken(&r.status).is_empty());
+    let broken = reports.iter().any(|report| match report {
+        Report::Folder(report) => !broken(&report.status).is_empty(),
+        // The daemon asserts nothing about itself there; its users judge it from outside.
+        Report::Store(_) => false,
+    });
     Ok(exit(!broken))
 }
 
@@ -53,7 +75,15 @@
     broken.map(|(name, p)| (name.clone(), p.broken)).collect()
 }
 
-fn print_status(report: &DaemonReport) {
+fn print_status(report: &Report) {
+    let report = match report {
+        Report::Folder(report) => report,
+        Report::Store(report) => {
+            fleet::print(&report.status);
+            println!("  refused: {}", pairs(&report.refused));
+            return;
+        }
+    };
     let status = &report.status;
     let state = match (status.stopping, status.ready) {
         (true, _) => "stopping",
@@ -94,17 +124,25 @@
     pairs.join(" ")
 }
 
-async fn statuses(daemons: &[Admin]) -> anyhow::Result<Vec<Status>> {
-    let mut statuses = Vec::new();
+/// States of daemons, by where they learn of routes.
+async fn statuses(daemons: &[Admin]) -> anyhow::Result<(Vec<Status>, Vec<edge::Status>)> {
+    let (mut folder, mut store) = (Vec::new(), Vec::new());
     for daemon in daemons {
-        statuses.push(daemon.status().await?);
+        match daemon.status().await? {
+            AnyStatus::Folder(status) => folder.push(*status),
+            AnyStatus::Store(status) => store.push(*status),
+        }
     }
-    Ok(statuses)
+    Ok((folder, store))
 }
 
 /// Lists services and their routes.
 pub(crate) async fn services(daemons: &[Admin], json: bool) -> anyhow::Result<ExitCode> {
-    let statuses = statuses(daemons).await?;
+    let (statuses, store) = statuses(daemons).await?;
+    anyhow::ensure!(
+        store.is_empty(),
+        "services: a daemon on a platform with a store names none; see servers"
+    );
     if json {
         let councils: Vec<_> = statuses.iter().map(|s| (&s.name, &s.councils)).collect();
         print_json(&councils.into_iter().collect::<BTreeMap<_, _>>())?;
@@ -138,12 +176,17 @@
 
 /// Lists servers and connections.
 pub(crate) async fn servers(daemons: &[Admin], json: bool) -> anyhow::Result<ExitCode> {
-    let statuses = statuses(daemons).await?;
+    let (statuses, store) = statuses(daemons).await?;
     if json {
-        let servers: Vec<_> = statuses.iter().map(|s| (&s.name, &s.servers)).collect();
-        print_json(&servers.into_iter().collect::<BTreeMap<_, _>>())?;
+        let folder = statuses.iter().map(|s| (&s.name, json!(s.servers)));
+        let store = store.iter().map(|s| (&s.name, json!(s.servers)));
+        print_json(&folder.chain(store).collect::<BTreeMap<_, _>>())?;
         return Ok(ExitCode::SUCCESS);
     }
+    for status in &store {
+        println!("{}", status.name);
+        status.servers.iter().for_each(print_server);
+    }
     for status in &statuses {
         println!("{}", status.name);
         let services = status.councils.iter().flat_map(|c| &c.services);
@@ -163,6 +206,25 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn print_server(server: &edge::ServerStatus) {
+    let report = match server.report_age_ms {
+        Some(age) => format!("{age} ms old"),
+        None => "none".to_owned(),
+    };
+    let mark = if server.draining { " leaving" } else { "" };
+    println!(
+        "  {} {} {} in {}, {} in flight, connections {}, report {report}, lag {:.2}, strikes {}{mark}",
+        server.id,
+        server.service,
+        server.address,
+        server.data_centre,
+        server.in_flight,
+        server.connections,
+        server.lag,
+        server.strikes
+    );
+}
+
 #[derive(Serialize)]
 struct CouncilVersions {
     agree: bool,
@@ -171,13 +233,20 @@
 
 /// Compares the versions in force; fails if they differ.
 pub(crate) async fn versions(daemons: &[Admin], json: bool) -> anyhow::Result<ExitCode> {
-    let statuses = statuses(daemons).await?;
+    let (statuses, store) = statuses(daemons).await?;
     let names = statuses.iter().flat_map(|s| &s.councils);
     let names: BTreeSet<&String> = names.map(|c| &c.council).collect();
-    let councils: BTreeMap<&String, CouncilVersions> = names
+    let mut councils: BTreeMap<&str, CouncilVersions> = names
         .into_iter()
-        .map(|name| (name, versions_of(name, &statuses)))
+        .map(|name| (name.as_str(), versions_of(name, &statuses)))
         .collect();
+    if !store.is_empty() {
+        let versions = store.iter().map(|s| {
+            let version = (s.version > 0).then(|| s.version.to_string());
+            (s.name.clone(), version)
+        });
+        councils.insert(ROUTES, CouncilVersions::new(versions));
+    }
     let agree = councils.values().all(|c| c.agree);
     if json {
         print_json(&councils)?;
@@ -194,21 +263,26 @@
 }
 
 fn versions_of(name: &str, statuses: &[Status]) -> CouncilVersions {
-    let by_daemon: BTreeMap<String, String> = statuses
-        .iter()
-        .map(|status| {
-            let council = status.councils.iter().find(|c| c.council == name);
-            let version = council.map(|c| format!("{}-{}", c.version, c.digest));
-            (
-                status.name.clone(),
-                version.unwrap_or_else(|| "none".into()),
-            )
-        })
-        .collect();
-    let distinct: BTreeSet<&String> = by_daemon.values().collect();
-    CouncilVersions {
-        agree: distinct.len() <= 1,
-        by_daemon,
+    CouncilVersions::new(statuses.iter().map(|status| {
+        let council = status.councils.iter().find(|c| c.council == name);
+        let version = council.map(|c| format!("{}-{}", c.version, c.digest));
+        (status.name.clone(), version)
+    }))
+}
+
+impl CouncilVersions {
+    /// Compares versions by daemon; `None` if a daemon has none.
+    fn new(versions: impl Iterator<Item = (String, Option<String>)>) -> Self {
+        let named = versions.map(|(daemon, version)| {
+            let version = version.unwrap_or_else(|| "none".into());
+            (daemon, version)
+        });
+        let by_daemon: BTreeMap<String, String> = named.collect();
+        let distinct: BTreeSet<&String> = by_daemon.values().collect();
+        Self {
+            agree: distinct.len() <= 1,
+            by_daemon,
+        }
     }
 }
 
--- a/cumin/src/top.rs
+++ b/cumin/src/top.rs
@@ -7,7 +7,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use serde::Serialize;
 
-use crate::admin::Admin;
+use crate::admin::{Admin, AnyStatus};
 use crate::counters::{self, CallKey};
 
 const CLEAR: &str = "\x1b[2J\x1b[H";
@@ -99,12 +99,12 @@
 async fn print(daemons: &[Admin], rows: &[Row]) -> anyhow::Result<()> {
     print!("{CLEAR}");
     for daemon in daemons {
-        let status = daemon.status().await?;
-        let state = if status.ready { "ready" } else { "not ready" };
-        println!(
-            "{} {state}, {} calls in flight",
-            status.name, status.in_flight
-        );
+        let (name, ready, in_flight) = match daemon.status().await? {
+            AnyStatus::Folder(s) => (s.name, s.ready, s.in_flight),
+            AnyStatus::Store(s) => (s.name, s.ready, s.in_flight),
+        };
+        let state = if ready { "ready" } else { "not ready" };
+        println!("{name} {state}, {in_flight} calls in flight");
     }
     println!(
         "{:<24} {:<10} {:<20} {:>10}",
--- a/cumin/tests/fleet.rs
+++ b/cumin/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! `cumin fleet` asks daemons on a platform with a store.
+//! Subcommands that ask daemons on a platform with a store.
 
 use std::process::Command;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use cuminspreadd::settings::Settings;
 
 struct Case {
+    args: &'static [&'static str],
     /// The store has a configuration.
     configured: bool,
     status: i32,
@@ -21,6 +22,7 @@
 async fn beliefs() {
     let cases = [
         Case {
+            args: &["fleet"],
             configured: true,
             status: 0,
             says: &[
@@ -30,10 +32,52 @@
             ],
         },
         Case {
+            args: &["fleet"],
             configured: false,
             status: 1,
             says: &["vm-1 in here: not ready"],
         },
+        Case {
+            args: &["status"],
+            configured: true,
+            status: 0,
+            says: &[
+                "version 3 with 1 routes",
+                "in force for",
+                "store read",
+                "refused: none",
+            ],
+        },
+        Case {
+            args: &["status", "--json"],
+            configured: true,
+            status: 0,
+            says: &["\"name\": \"vm-1\"", "\"store_age_ms\"", "\"peers\": []"],
+        },
+        Case {
+            args: &["servers"],
+            configured: true,
+            status: 0,
+            says: &["vm-1", "i-1 status 127.0.0.1", "report none", "strikes 0"],
+        },
+        Case {
+            args: &["versions"],
+            configured: true,
+            status: 0,
+            says: &["routes: agree", "vm-1 3"],
+        },
+        Case {
+            args: &["versions"],
+            configured: false,
+            status: 0,
+            says: &["vm-1 none"],
+        },
+        Case {
+            args: &["top", "--count", "2", "--interval-ms", "10"],
+            configured: true,
+            status: 0,
+            says: &["vm-1 ready", "calls/s"],
+        },
     ];
     for case in cases {
         let store = StandInStore::start().await;
@@ -59,7 +103,7 @@
         let output = Command::new(env!("CARGO_BIN_EXE_cumin"))
             .arg("--admin")
             .arg(format!("http://{}", daemon.admin()))
-            .arg("fleet")
+            .args(case.args)
             .output()
             .expect("cumin runs");
         let text = String::from_utf8_lossy(&output.stdout).into_owned();
--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -200,6 +200,13 @@
         peers.map(|p| p.daemon.address).collect()
     }
 
+    /// Peers, and the time since anybody heard them.
+    pub fn peers(&self, now: Mono) -> Vec<(Daemon, Duration)> {
+        let peers = self.peers.values();
+        let peers = peers.map(|p| (p.daemon.clone(), now.since(p.seen)));
+        peers.collect()
+    }
+
     /// Any peer of the own data centre.
     pub fn any_near(&mut self) -> Option<SocketAddr> {
         let near = self.near();
--- a/cuminspreadd/src/edge/admin.rs
+++ b/cuminspreadd/src/edge/admin.rs
@@ -38,22 +38,40 @@
     pub in_flight: usize,
     /// Version of the configuration in force.
     pub version: u64,
+    /// Time since it came into force, in milliseconds.
+    pub in_force_ms: Option<u64>,
     /// Routes in force.
     pub routes: usize,
     /// Revision of the registry.
     pub revision: u64,
     /// Time since any daemon read the store, in milliseconds; `None` if none has.
     pub store_age_ms: Option<u64>,
+    /// Daemon that made the last read that was heard of.
+    pub reader: Option<String>,
     /// This daemon reads the store for others.
     pub reads_store: bool,
     /// Own reads of the store that failed in a row.
     pub failed_reads: u32,
     /// Daemons heard lately, this one included.
     pub daemons: usize,
+    /// Peers.
+    pub peers: Vec<PeerStatus>,
     /// Servers.
     pub servers: Vec<ServerStatus>,
 }
 
+/// What a daemon believes of one peer.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// Address.
+    pub address: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Time since anybody heard it, in milliseconds.
+    pub heard_ms: u64,
+}
+
 /// What a daemon believes of one server.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
@@ -175,6 +193,12 @@
         connections: s.upstream.open(),
     });
     let mut servers: Vec<ServerStatus> = servers.collect();
+    let peers = beliefs.peers.into_iter().map(|(daemon, age)| PeerStatus {
+        address: daemon.address.to_string(),
+        data_centre: daemon.data_centre.to_string(),
+        heard_ms: age.as_millis() as u64,
+    });
+    let peers = peers.collect();
     servers.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
     Status {
         name: edge.settings.name.to_string(),
@@ -184,12 +208,15 @@
         stopping: edge.is_stopping(),
         in_flight: edge.in_flight(),
         version: table.routing().version,
+        in_force_ms: edge.in_force_for().map(|age| age.as_millis() as u64),
         routes: table.routing().routes.len(),
         revision: beliefs.revision,
         store_age_ms: beliefs.store_age.map(|age| age.as_millis() as u64),
+        reader: beliefs.reader.map(|address| address.to_string()),
         reads_store: beliefs.reads_store,
         failed_reads: beliefs.failed_reads,
         daemons: beliefs.daemons,
+        peers,
         servers,
     }
 }
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -196,6 +196,8 @@
         let now = self.edge.now();
         let k = self.lock();
         Beliefs {
+            peers: k.mesh.peers(now),
+            reader: k.last_read.as_ref().map(|(reader, _)| reader.address),
             daemons: k.mesh.size(),
             revision: k.catalog.revision(),
             reads_store: k.reader.role() == Role::Reader,
@@ -428,6 +430,10 @@
 /// What a daemon knows of its surroundings.
 #[derive(Debug, Clone)]
 pub struct Beliefs {
+    /// Peers, and the time since anybody heard them.
+    pub peers: Vec<(Daemon, Duration)>,
+    /// Daemon that made the last read that was heard of.
+    pub reader: Option<SocketAddr>,
     /// Daemons heard lately, this one included.
     pub daemons: usize,
     /// Revision of the registry.
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher as _, DefaultHasher, Hash as _, Hasher as _, RandomState};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
@@ -142,6 +142,8 @@
     clock: SystemClock,
     started: Instant,
     table: RwLock<Arc<RouteTable>>,
+    /// When the version in force came into force, in microseconds; 0 before the first.
+    in_force_at: AtomicU64,
     /// Versions before the one in force, newest last.
     earlier: Mutex<VecDeque<Arc<Routing>>>,
     fleet: Mutex<Fleet>,
@@ -179,6 +181,7 @@
             clock,
             started: Instant::now(),
             table: RwLock::default(),
+            in_force_at: AtomicU64::new(0),
             earlier: Mutex::default(),
             fleet: Mutex::new(Fleet::new(seed)),
             crash_watch: Mutex::default(),
@@ -212,6 +215,12 @@
         self.table().routing().version
     }
 
+    /// Time since the version in force came into force; `None` before the first.
+    pub fn in_force_for(&self) -> Option<Duration> {
+        let at = self.in_force_at.load(Ordering::Acquire);
+        (at > 0).then(|| self.now().since(Mono(at)))
+    }
+
     /// Puts a configuration in force, if it is newer; returns whether it is.
     pub fn put_in_force(&self, routing: Arc<Routing>, source: &str) -> bool {
         let before = self.version();
@@ -229,6 +238,7 @@
             }
             *held = Arc::clone(&table);
         }
+        self.in_force_at.store(self.now().0, Ordering::Release);
         self.fleet().keep_routes(&table);
         log::info!(
             "event=in_force version={version} before={before} routes={routes} source={source}"
