--- a/cumin/src/request.rs
+++ b/cumin/src/request.rs
@@ -1,7 +1,8 @@
 //! `cumin explain-request`: what happened to one request, from the daemons' logs.
 //!
 //! Lines of all daemons for one id are put in order of time, and the last decisions are summed up in
-//! a sentence. Clocks of VMs may differ by some milliseconds, so lines of one moment may be swapped.
+//! a sentence. A log that holds the daemon's next start after the request's last line shows that the
+//! daemon ended first. Clocks of VMs may differ by some milliseconds, so lines of one moment may be swapped.
 
 use std::collections::HashMap;
 use std::fs;
@@ -11,6 +12,9 @@
 use anyhow::Context as _;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
+/// What a daemon's first line has.
+const STARTED: &str = "event=started ";
+
 /// Arguments.
 pub fn command() -> Command {
     Command::new("explain-request")
@@ -32,21 +36,25 @@
 /// Runs the subcommand; the exit status is 1 if no line names the request.
 pub fn run(args: &ArgMatches, json: bool) -> anyhow::Result<ExitCode> {
     let id: &String = args.get_one("id").context("no id")?;
-    let mut lines = Vec::new();
+    let mut found = Found::default();
     let logs: Vec<&String> = args.get_many("logs").into_iter().flatten().collect();
     if logs.is_empty() {
-        collect(id, io::stdin().lock(), &mut lines)?;
+        collect(id, io::stdin().lock(), &mut found)?;
     }
     for log in logs {
         let file = fs::File::open(log).with_context(|| format!("step=read peer={log}"))?;
-        collect(id, BufReader::new(file), &mut lines)?;
+        collect(id, BufReader::new(file), &mut found)?;
     }
+    let Found {
+        mut lines,
+        restarted_ms,
+    } = found;
     lines.sort_by_key(|line| line.time_ms);
     if lines.is_empty() {
         println!("no line names {id}; the log may be of another time, or lines were dropped");
         return Ok(ExitCode::FAILURE);
     }
-    let cause = explain(&lines);
+    let cause = explain(&lines, restarted_ms);
     if json {
         let texts: Vec<&str> = lines.iter().map(|l| l.text.as_str()).collect();
         println!(
@@ -62,6 +70,14 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// What the logs say of a request.
+#[derive(Default)]
+struct Found {
+    lines: Vec<Line>,
+    /// Next start of the daemon whose log has the last of the lines.
+    restarted_ms: Option<u64>,
+}
+
 /// One line of a log.
 struct Line {
     time_ms: u64,
@@ -89,23 +105,44 @@
     }
 }
 
-fn collect(id: &str, input: impl BufRead, lines: &mut Vec<Line>) -> anyhow::Result<()> {
+fn collect(id: &str, input: impl BufRead, found: &mut Found) -> anyhow::Result<()> {
+    let mut here = false;
     for text in input.lines() {
         let text = text.context("step=read")?;
         if text.contains(id) {
             let line = Line::parse(text);
             if line.field("id") == id {
-                lines.push(line);
+                found.lines.push(line);
+                here = true;
             }
+        } else if here && text.contains(STARTED) {
+            found.restarted_ms = Some(Line::parse(text).time_ms);
+            here = false;
         }
     }
     Ok(())
 }
 
+/// Cause of the outcome of a request whose end no log has.
+fn explain_unended(lines: &[Line], restarted_ms: Option<u64>) -> String {
+    let (Some(last), Some(restarted_ms)) = (lines.last(), restarted_ms) else {
+        return "The request has not ended, or its last line was dropped.".to_owned();
+    };
+    let later = restarted_ms.saturating_sub(last.time_ms);
+    let again = format!("and started again {later} ms after its last line.");
+    match lines.iter().rev().find(|l| l.field("event") == "placed") {
+        Some(placed) => format!(
+            "Its outcome is unknown: its daemon ended while server {} had it, {again}",
+            placed.field("server")
+        ),
+        None => format!("It has not run: its daemon ended before a server had it, {again}"),
+    }
+}
+
 /// Cause of the request's outcome, in a sentence.
-fn explain(lines: &[Line]) -> String {
+fn explain(lines: &[Line], restarted_ms: Option<u64>) -> String {
     let Some(end) = lines.iter().rev().find(|l| l.field("event") == "request") else {
-        return "The request has not ended, or its last line was dropped.".to_owned();
+        return explain_unended(lines, restarted_ms);
     };
     let (service, server) = (end.field("service"), end.field("server"));
     let waited: u64 = end.field("waited_us").parse().unwrap_or(0) / 1000;
@@ -131,6 +168,9 @@
         ("refused", "no_room") => {
             format!("It was refused, and has not run: no server of {service} had room in time")
         }
+        ("refused", "crashing") => {
+            "It was refused, and has not run: requests like it crashed servers".to_owned()
+        }
         ("refused", "stopping") => {
             "It was refused, and has not run: the daemon was about to stop".to_owned()
         }
--- a/cumin/tests/request.rs
+++ b/cumin/tests/request.rs
@@ -12,6 +12,11 @@
 time_ms=55 level=warn event=request id=a-13 route=r version=7 service=orders server=i-3 near=true outcome=refused status=503 detail=no_room sends=2 runs=0 hedges=0 looks=9 waited_us=0 took_us=45000
 time_ms=60 level=warn event=request id=a-11 route=r version=7 service=orders server=i-3 near=true outcome=failed status=504 detail=timeout sends=1 runs=1 hedges=0 looks=2 waited_us=900 took_us=2500000
 time_ms=70 level=info event=request id=a-12 outcome=no_route version=8
+time_ms=75 level=warn event=request id=a-14 outcome=refused detail=crashing sends=0
+time_ms=80 level=info event=placed id=a-15 server=i-3 slowness=1.00 report_age_us=90
+time_ms=90 level=info event=waits id=a-16 service=orders waiting=3
+time_ms=900 level=info event=started name=vm-1 data_centre=hall
+time_ms=950 level=info event=placed id=a-17 server=i-3 slowness=1.00 report_age_us=90
 ";
 
 struct Case {
@@ -54,6 +59,32 @@
             cause: "No route of version 8",
             found: true,
         },
+        Case {
+            id: "a-14",
+            lines: 1,
+            cause: "has not run: requests like it crashed servers",
+            found: true,
+        },
+        Case {
+            id: "a-15",
+            lines: 1,
+            cause: "Its outcome is unknown: its daemon ended while server i-3 had it, and started \
+                    again 820 ms after its last line",
+            found: true,
+        },
+        Case {
+            id: "a-16",
+            lines: 1,
+            cause: "It has not run: its daemon ended before a server had it, and started again \
+                    810 ms after its last line",
+            found: true,
+        },
+        Case {
+            id: "a-17",
+            lines: 1,
+            cause: "has not ended, or its last line was dropped",
+            found: true,
+        },
         Case {
             id: "a-2",
             lines: 0,
