Questions to servers go to the daemons that need them

All of them were at a few daemons of the data centre that clients had moved to: these asked 60 to 70 questions a second, their equal share of 0.6 of the servers' bound, while others asked 4 to 40. A request whose daemon may not ask waits, others queue behind it, and while others wait no request goes out without a report.

Change: coordination::allowance. Daemons tell each other their questions a second with each greeting. While the mean use is below the target of 0.7, a daemon widens its share, up to 2.5 equal ones; above it narrows, and never below the target.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -3,6 +3,7 @@
 //! Two state machines take events and the time, and return actions:
 //! [`dispatch::Dispatcher`] for calls, and [`node::Node`] for what daemons say to each other.
 
+pub mod allowance;
 pub mod attempt;
 pub mod backoff;
 pub mod catalog;
--- a/cuminspread/src/protocol/bulletin.rs
+++ b/cuminspread/src/protocol/bulletin.rs
@@ -113,6 +113,8 @@
     Leaving(Daemon),
     /// A request crashed a server.
     Crash(CrashReport),
+    /// Questions to servers that the sender asks a second.
+    Questions(u32),
 }
 
 /// Asks for what is beyond the own extent.
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -221,6 +221,10 @@
         }
     }
 
+    fn questions(&self, now: Mono) -> Notice {
+        Notice::Questions(self.edge.fleet().looks_rate(now).round() as u32)
+    }
+
     /// Tells peers that a request crashed a server; relays pass it on in their data centres.
     fn send_crash(&self, k: &mut Knowledge, report: CrashReport) {
         for (peers, relay) in [(k.mesh.near(), false), (k.mesh.relays(), true)] {
@@ -261,8 +265,10 @@
         let greet = k.mesh.greet(now);
         if !greet.is_empty() {
             let hello = Notice::Hello(k.mesh.me().clone());
+            let questions = self.questions(now);
             for peer in greet {
                 self.gossip.send(peer, &hello);
+                self.gossip.send(peer, &questions);
             }
         }
         let gone = k.catalog.sweep(now);
--- a/cuminspreadd/src/edge/control/news.rs
+++ b/cuminspreadd/src/edge/control/news.rs
@@ -133,6 +133,7 @@
                 let peers = Notice::Peers(k.mesh.sample(now, &daemon.data_centre));
                 drop(k);
                 self.gossip.send(from, &peers);
+                self.gossip.send(from, &self.questions(now));
             }
             Notice::Peers(sightings) => {
                 let mut k = self.lock();
@@ -157,6 +158,10 @@
             Notice::Bulletin(bulletin) => self.take_bulletin(from, &bulletin),
             Notice::Leaving(daemon) => self.lock().mesh.left(&daemon),
             Notice::Crash(report) => self.take_crash(report),
+            Notice::Questions(rate) => {
+                let mut fleet = self.edge.fleet();
+                fleet.note_peer_looks(rate as f32, &self.edge.platform);
+            }
         }
     }
 
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use cuminspread::coordination::allowance::{Allowance, AllowanceSettings};
 use cuminspread::coordination::catalog::Entry;
 use cuminspread::coordination::placing::{Crowding, End, Need, PlacingSettings, Room, Standing};
 use cuminspread::coordination::retry::Tokens;
@@ -38,11 +39,6 @@
 /// Least connections that a daemon may hold to one server.
 const MIN_CONNECTIONS: u32 = 4;
 
-/// Part of the questions that servers allow which is planned with.
-const LOOKS_PART: f32 = 0.6;
-/// Time in which unused questions are saved, in seconds.
-const LOOKS_BURST_S: f32 = 3.0;
-
 /// Earlier versions of the configuration kept, to tell peers only what changed.
 const EARLIER: usize = 8;
 
@@ -121,13 +117,6 @@
     }
 }
 
-/// Questions to servers that may still be asked, refilled over time.
-#[derive(Debug, Default)]
-struct Allowance {
-    left: f32,
-    at: Mono,
-}
-
 /// Shared parts of one daemon.
 #[derive(Debug)]
 pub struct Edge {
@@ -339,7 +328,7 @@
             crowding: HashMap::new(),
             blind: HashSet::new(),
             salt: seed,
-            looks: Allowance::default(),
+            looks: Allowance::new(AllowanceSettings::default()),
             rng: Pcg32::new(seed, 3),
         }
     }
@@ -540,15 +529,24 @@
 
     /// Takes questions to servers out of this daemon's allowance; gives how many may be asked.
     pub fn take_looks(&mut self, now: Mono, wanted: usize, settings: &EdgeSettings) -> usize {
-        let fleet = settings.looks_per_s * self.servers.len() as f32;
-        let per_s = fleet * LOOKS_PART / self.daemons as f32;
-        let burst = per_s * LOOKS_BURST_S;
-        let refill = now.since(self.looks.at).as_secs_f32() * per_s;
-        self.looks.left = (self.looks.left + refill).min(burst);
-        self.looks.at = now;
-        let taken = (self.looks.left as usize).min(wanted);
-        self.looks.left -= taken as f32;
-        taken
+        let share = self.looks_share(settings);
+        self.looks.take(now, wanted, share)
+    }
+
+    /// Questions a second that this daemon asks lately.
+    pub fn looks_rate(&self, now: Mono) -> f32 {
+        self.looks.rate(now)
+    }
+
+    /// A peer says how many questions a second it asks.
+    pub fn note_peer_looks(&mut self, rate: f32, settings: &EdgeSettings) {
+        let share = self.looks_share(settings);
+        self.looks.note_peer(rate, share);
+    }
+
+    /// Questions a second that servers allow to each of the daemons.
+    fn looks_share(&self, settings: &EdgeSettings) -> f32 {
+        settings.looks_per_s * self.servers.len() as f32 / self.daemons as f32
     }
 
     /// How much longer work takes at nearly full servers of a service.
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -148,6 +148,7 @@
         ("bulletin", Notice::Bulletin(Box::new(bulletin))),
         ("leaving", Notice::Leaving(daemon)),
         ("crash", Notice::Crash(crash)),
+        ("questions", Notice::Questions(70)),
     ];
     let supply = |routing, registry| Supply {
         routing: Some(routing),
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cuminspread::coordination::allowance::{Allowance, AllowanceSettings};
 use cuminspread::coordination::catalog::{Catalog, Change, Dated};
 use cuminspread::coordination::crash::{Crash, CrashSettings, Crashes};
 use cuminspread::coordination::mesh::{Mesh, MeshSettings};
@@ -194,6 +195,11 @@
             }
         }
         Notice::Leaving(daemon) => mesh.left(&daemon),
+        Notice::Questions(rate) => {
+            let mut allowance = Allowance::new(AllowanceSettings::default());
+            allowance.note_peer(rate as f32, 10.0);
+            assert!(allowance.take(NOW, 1_000, 10.0) <= 1_000);
+        }
         Notice::Crash(report) => {
             let broke = NOW - report.age;
             let crash = Crash {
