Soak: a server that leaves after the faults gets no request beyond the bound

Cause: the soak had no check of DRAIN, and its random faults leave no time in which the bound holds.

Change: when the time for recovery is over, one server says that it leaves, and the calm time is 4 s instead of 2 s. A request sent more than 2 s later that this server runs breaks the promise. The head says why clocks aren't harmed.

--- a/bench/src/fault_soak.rs
+++ b/bench/src/fault_soak.rs
@@ -11,7 +11,10 @@
 //! - no server has run what no client sent, or something else under its id;
 //! - an idempotent request has run at most as often as its route allows;
 //! - a route that is always there is never answered with 404;
-//! - soon after the last fault nearly all requests are served.
+//! - soon after the last fault nearly all requests are served;
+//! - a server that then says that it leaves gets no request that was sent after the bound.
+//!
+//! Clocks are not harmed: daemons use the monotonic one, and the time of day only to name their start.
 
 pub mod client;
 pub mod fleet;
@@ -33,11 +36,13 @@
 use fleet::{Fleet, Signal};
 use proxy::Fault;
 
-/// Time after the last fault in which the deployment may still recover: lapses, leases of beliefs and
-/// restarts take 2 to 3 s each.
+/// Time after the last fault in which the deployment may still recover: lapses, beliefs and restarts
+/// take 2 to 3 s each.
 const RECOVERY: Duration = Duration::from_secs(6);
 /// Time after that in which requests must be served.
-const CALM: Duration = Duration::from_secs(2);
+const CALM: Duration = Duration::from_secs(4);
+/// Time after which a leaving server gets no request any more; the bound of the users' sites.
+const DRAIN: Duration = Duration::from_secs(2);
 /// Part of the requests of the calm time that must be served.
 const SERVED: f64 = 0.95;
 /// Longest pause between two faults.
@@ -179,10 +184,11 @@
         fleet.tend()?;
     }
     fleet.heal();
-    while Instant::now() < end {
-        sleep(Duration::from_millis(50)).await;
-        fleet.tend()?;
-    }
+    tend_until(&mut fleet, calm_from).await?;
+    let leaving = rng.random_range(0..fleet.servers());
+    fleet.drain(leaving);
+    let drained_at = Instant::now();
+    tend_until(&mut fleet, end).await?;
     let mut sendings = Vec::new();
     for client in clients {
         sendings.extend(client.await?);
@@ -194,6 +200,12 @@
         faults,
         broken: check(&fleet, &sendings),
     };
+    let late = |s: &&Sending| s.at > drained_at + DRAIN && fleet.ran_at(leaving, &s.id);
+    for sending in sendings.iter().filter(late) {
+        let (id, after) = (&sending.id, sending.at - drained_at);
+        let breach = format!("drain: {id} was sent {after:?} after its server said that it leaves");
+        verdict.broken.push(breach);
+    }
     let calm: Vec<&Sending> = sendings.iter().filter(|s| s.at >= calm_from).collect();
     let served = calm.iter().filter(|s| s.outcome == Outcome::Served).count();
     if (served as f64) < SERVED * calm.len() as f64 {
@@ -204,6 +216,15 @@
     Ok(verdict)
 }
 
+/// Ends faults whose time is over, and restarts daemons, until a time.
+async fn tend_until(fleet: &mut Fleet, end: Instant) -> anyhow::Result<()> {
+    while Instant::now() < end {
+        sleep(Duration::from_millis(50)).await;
+        fleet.tend()?;
+    }
+    Ok(())
+}
+
 /// Injects one fault; those that last end by themselves or by a later one.
 async fn inject(fleet: &mut Fleet, rng: &mut Pcg32) -> anyhow::Result<()> {
     let daemon = rng.random_range(0..fleet.daemons());
--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -230,6 +230,19 @@
         self.store.put_config(text);
     }
 
+    /// Lets a server say that it leaves; it goes on serving what it gets.
+    pub fn drain(&mut self, server: usize) {
+        let server = &self.servers[server];
+        let (id, address) = (server.stand_in.id(), server.proxy.address());
+        self.store.drain_server(id, SERVICE, address);
+    }
+
+    /// Whether a server ran a request.
+    pub fn ran_at(&self, server: usize, id: &str) -> bool {
+        let runs = self.servers[server].stand_in.runs();
+        runs.iter().any(|r| r.id == id)
+    }
+
     /// Takes a server away without a word and starts another one.
     pub async fn replace_server(&mut self, server: usize) {
         let Ok(new) = self.start_server().await else {
