--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod fault_soak;
+pub mod fleet_cost;
 pub mod fronts;
 pub mod host;
 pub mod load;
--- a/bench/src/subcommand.rs
+++ b/bench/src/subcommand.rs
@@ -2,7 +2,7 @@
 
 use clap::{ArgMatches, Command};
 
-use crate::{config, decide, demo, fault_soak, path, policy, slopes, soak};
+use crate::{config, decide, demo, fault_soak, fleet_cost, path, policy, slopes, soak};
 
 /// One subcommand.
 #[derive(Debug, Clone, Copy)]
@@ -20,6 +20,7 @@
     subcommand(fault_soak::command, fault_soak::run),
     subcommand(path::command, path::run),
     subcommand(slopes::command, slopes::run),
+    subcommand(fleet_cost::command, fleet_cost::run),
     subcommand(config::command, config::run),
     subcommand(policy::command, policy::run),
     subcommand(decide::command, decide::run),
--- a/cuminspread/src/coordination/allowance.rs
+++ b/cuminspread/src/coordination/allowance.rs
@@ -1,6 +1,6 @@
 //! Questions to servers that one daemon may ask.
 //!
-//! Servers bound the questions of all daemons together. Equal shares waste most of them.
+//! Servers bound the questions of all daemons together.
 //!
 //! Load pattern: clients move to one data centre, so that a few daemons take most requests. With an
 //! equal share these ran out of questions and held requests until their time was over, while the
@@ -34,16 +34,18 @@
     }
 }
 
-/// Weight of one more word of a peer, of which one or two come a second.
-const WORD_WEIGHT: f32 = 0.15;
-/// Factor on the share for each word while the fleet uses less than its target.
+/// Weight of one more report of a peer, of which one or two come a second.
+const REPORT_WEIGHT: f32 = 0.15;
+/// Factor on the share for each report while the fleet uses less than its target.
 const WIDEN: f32 = 1.1;
-/// Factor on the share for each word while it uses more; harder, since use can rise at once.
+/// Factor on the share for each report while it uses more; harder, since use can rise at once.
 const NARROW: f32 = 0.75;
 /// Part of the target below which the share is widened.
 const ROOMY: f32 = 0.85;
 /// Time in which the own rate forgets half.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Gain that makes [`Allowance::rate`] the mean rate of a steady asker: the natural logarithm of 2.
+const RATE_GAIN: f32 = std::f32::consts::LN_2;
 
 /// Questions of one daemon, refilled over time.
 #[derive(Debug)]
@@ -53,7 +55,7 @@
     factor: f32,
     left: f32,
     refilled: Mono,
-    /// Mean of the shares that daemons use, from the words of peers.
+    /// Mean of the shares that daemons use, from the reports of peers.
     in_use: Option<f32>,
     /// Questions a second lately.
     rate: f32,
@@ -101,7 +103,7 @@
         }
         let sample = (rate / share).clamp(0.0, self.settings.most);
         let known = self.in_use.unwrap_or(sample);
-        let in_use = known + (sample - known) * WORD_WEIGHT;
+        let in_use = known + (sample - known) * REPORT_WEIGHT;
         self.in_use = Some(in_use);
         let target = self.settings.target;
         if in_use > target {
@@ -112,6 +114,3 @@
         self.factor = self.factor.clamp(target, self.settings.most);
     }
 }
-
-/// Gain that makes [`Allowance::rate`] the mean rate of a steady asker: the natural logarithm of 2.
-const RATE_GAIN: f32 = std::f32::consts::LN_2;
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cuminspread::coordination::refusal::{self, Cause};
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
@@ -37,6 +37,7 @@
 use super::state::Edge;
 use crate::framing::{Beginning, Watched};
 use crate::headers;
+use crate::pieces::Pieces;
 use cuminspread::transport::upstream::exchange::{Exchange, Piece};
 
 /// Pause after a failed accept, which is most often a lack of file descriptors.
@@ -361,8 +362,7 @@
     held: &mut Held,
     id: &Name,
 ) -> Result<Bytes, Fault> {
-    let mut first = Bytes::new();
-    let mut rest = BytesMut::new();
+    let mut pieces = Pieces::default();
     while let Some(frame) = body.frame().await {
         let frame = match frame {
             Ok(frame) => frame,
@@ -375,28 +375,16 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if held.bytes + data.len() > size {
+        if pieces.len() + data.len() > size {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(Fault::Bad(status, "body_too_large"));
         }
         if !held.grow(data.len()) {
             return Err(Fault::Refused(id.clone(), Cause::NoRoom));
         }
-        // Most bodies come in one piece, which needs no copy.
-        if first.is_empty() {
-            first = data;
-        } else {
-            if rest.is_empty() {
-                rest.extend_from_slice(&first);
-            }
-            rest.extend_from_slice(&data);
-        }
+        pieces.push(data);
     }
-    Ok(if rest.is_empty() {
-        first
-    } else {
-        rest.freeze()
-    })
+    Ok(pieces.finish())
 }
 
 fn respond(reply: Reply) -> Answer {
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -64,9 +64,10 @@
         let ingress = tokio::spawn(ingress);
         let (name, store) = (&edge.settings.name, edge.platform.store);
         log::info!(
-            "event=started name={name} data_centre={} front={front} admin={admin_at} store={store} \
-             seeds={}",
+            "event=started name={name} data_centre={} front={front} admin={admin_at} peer={} \
+             store={store} seeds={}",
             edge.settings.data_centre,
+            control.address(),
             edge.platform.seeds.len()
         );
         Ok(Self {
--- a/cuminspreadd/src/lib.rs
+++ b/cuminspreadd/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod orders;
 pub mod peer_address;
 pub mod peers;
+mod pieces;
 pub mod probe;
 pub mod request;
 pub mod server_status;
--- a/cuminspreadd/src/request.rs
+++ b/cuminspreadd/src/request.rs
@@ -3,7 +3,7 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use cuminspread::protocol::header as cumin;
 use cuminspread::state::council::Digest;
 use cuminspread::state::table::Match;
@@ -14,6 +14,7 @@
 use crate::admission::Admission;
 use crate::answer::{Notice, Step};
 use crate::headers::{self, Number};
+use crate::pieces::Pieces;
 
 /// Longest idempotency key, in bytes.
 const MAX_KEY: usize = 255;
@@ -60,15 +61,14 @@
     admission: &mut Admission,
 ) -> Result<Bytes, Notice> {
     let mut body = std::pin::pin!(body);
-    let mut first = Bytes::new();
-    let mut rest = BytesMut::new();
+    let mut pieces = Pieces::default();
     while let Some(piece) = body.next().await {
         let mut piece = piece.map_err(|e| {
             let status = StatusCode::BAD_REQUEST;
             request_fault(status, "bad_body", &e.to_string())
         })?;
         let piece = piece.copy_to_bytes(piece.remaining());
-        if first.len() + rest.len() + piece.len() > bounds.body {
+        if pieces.len() + piece.len() > bounds.body {
             let detail = format!("the body is larger than {} bytes", bounds.body);
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(request_fault(status, "body_too_large", &detail));
@@ -80,20 +80,9 @@
                 ..request_fault(StatusCode::SERVICE_UNAVAILABLE, "overload", detail)
             });
         }
-        if first.is_empty() {
-            first = piece;
-        } else {
-            if rest.is_empty() {
-                rest.extend_from_slice(&first);
-            }
-            rest.extend_from_slice(&piece);
-        }
+        pieces.push(piece);
     }
-    Ok(if rest.is_empty() {
-        first
-    } else {
-        rest.freeze()
-    })
+    Ok(pieces.finish())
 }
 
 pub(crate) fn request_fault(status: StatusCode, reason: &'static str, detail: &str) -> Notice {
