--- a/cuminspreadd/src/edge/crash.rs
+++ b/cuminspreadd/src/edge/crash.rs
@@ -20,6 +20,12 @@
 use super::exchange::Outgoing;
 use super::state::Edge;
 
+/// Crashes after which requests of a fingerprint are refused; with two, a server that crashes by itself
+/// and a rack that fails later would be enough.
+const CONVICTING: u32 = 3;
+/// Time for which crashes are remembered, and requests refused; callers repeat a request for some
+/// seconds at most.
+const MEMORY: Duration = Duration::from_secs(60);
 /// Time for a crashed server's listener to close.
 const CLOSING: Duration = Duration::from_millis(20);
 /// Longest time for a connection that shows whether a server is there.
@@ -52,10 +58,9 @@
     pub fn new() -> Self {
         Self {
             crashes: Crashes::new(CrashSettings {
-                // The rules allow a few more runs after the third.
-                crashes: 3,
-                memory: Duration::from_secs(60),
-                refused_for: Duration::from_secs(60),
+                crashes: CONVICTING,
+                memory: MEMORY,
+                refused_for: MEMORY,
                 ..CrashSettings::default()
             }),
             heard: VecDeque::new(),
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -135,12 +135,11 @@
     let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut closing = false;
     let ended = loop {
-        let head_left = head_left(&edge, &heads);
-        let idle = idle_left(&edge, &activity);
+        let look_in = head_left(&edge, &heads).min(idle_left(&edge, &activity));
         tokio::select! {
             ended = conn.as_mut() => break ended,
-            () = sleep(head_left.min(idle)), if !closing => {
-                let stalled = heads.head_age().is_some() && head_left == Duration::ZERO;
+            () = sleep(look_in), if !closing => {
+                let stalled = head_left(&edge, &heads) == Duration::ZERO;
                 let idle = idle_left(&edge, &activity) == Duration::ZERO;
                 // Without a whole request the HTTP server has nothing to end gracefully.
                 if stalled || idle && heads.is_unused() {
@@ -178,8 +177,8 @@
     }
 }
 
-/// Time after which a connection's head has to be looked at: what is left for the one that is being
-/// read, or the whole time, in which none can run out.
+/// Time that is left for the head that is being read; if there is none, the whole time for one, after
+/// which a connection has to be looked at again.
 fn head_left(edge: &Edge, heads: &Beginning) -> Duration {
     let limit = edge.table().routing().limits.head_timeout;
     limit.saturating_sub(heads.head_age().unwrap_or_default())
