Read-through: one argument for the daemon's program, one way to tell peers, one bulletin without changes

Cause: three measurements declared and read `--daemon` alike, three places built the same bulletin that only says how far news goes, five loops sent one notice to several peers, and CrashWatch had a `new` that only `default` called.

Ruled out: one registering of metrics for both modes (names, labels and units differ; a shared list would need a variant for each), and one stream wrapper (it would change the transport's counting, see DESIGN.md).

Change: process::{program_arg, program}, Control::tell, news::extent_only. Behaviour is the same, but for one line at debug level: a notice of any kind that can't be sent is told as event=notice_unsent, bulletins alone were told before, as event=bulletin_unsent.

--- a/bench/src/fleet_cost.rs
+++ b/bench/src/fleet_cost.rs
@@ -4,7 +4,7 @@
 //! servers that report all the time. No requests are sent, so that all cost is that of control.
 
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -43,13 +43,7 @@
                 .help("Numbers of daemons, one run each"),
         )
         .arg(number("seconds", "15", "Seconds of each run"))
-        .arg(
-            Arg::new("daemon")
-                .long("daemon")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
-                .help("Program of the daemon; by default beside this one"),
-        )
+        .arg(process::program_arg())
 }
 
 /// Runs the subcommand.
@@ -58,8 +52,7 @@
 ///
 /// Fails if a daemon can't be started or doesn't answer.
 pub fn run(args: &ArgMatches) -> anyhow::Result<()> {
-    let program = args.get_one::<PathBuf>("daemon").cloned();
-    let program = program.map_or_else(process::default_program, Ok)?;
+    let program = process::program(args)?;
     let seconds = args.get_one("seconds").copied().unwrap_or(1u64);
     let runtime = crate::runtime()?;
     let mut points = Vec::new();
--- a/bench/src/path.rs
+++ b/bench/src/path.rs
@@ -49,13 +49,7 @@
         )
         .arg(flag("orders", "Orders in place of status checks"))
         .arg(flag("json", "Print JSON"))
-        .arg(
-            Arg::new("daemon")
-                .long("daemon")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
-                .help("Program of the daemon; by default beside this one"),
-        )
+        .arg(process::program_arg())
 }
 
 pub(crate) fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -89,7 +83,6 @@
 impl Options {
     fn read(args: &ArgMatches) -> anyhow::Result<Self> {
         let number = |name| args.get_one(name).copied().unwrap_or(1u64);
-        let program = args.get_one::<PathBuf>("daemon").cloned();
         Ok(Self {
             rounds: number("rounds"),
             span: Duration::from_secs(number("seconds")),
@@ -98,7 +91,7 @@
             seed: number("seed"),
             rate: args.get_one("rate").copied(),
             orders: args.get_flag("orders"),
-            program: program.map_or_else(process::default_program, Ok)?,
+            program: process::program(args)?,
         })
     }
 
--- a/bench/src/process.rs
+++ b/bench/src/process.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use clap::{Arg, ArgMatches, value_parser};
 
 static STARTED: AtomicU64 = AtomicU64::new(0);
 
@@ -95,12 +96,24 @@
     }
 }
 
-/// Program `cuminspreadd` beside the running one.
+/// Argument that names the program of the daemon.
+pub fn program_arg() -> Arg {
+    Arg::new("daemon")
+        .long("daemon")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Program of the daemon; by default beside this one")
+}
+
+/// Program that [`program_arg`] names, or `cuminspreadd` beside the running one.
 ///
 /// # Errors
 ///
-/// Fails if the path of the running program is unknown.
-pub fn default_program() -> anyhow::Result<PathBuf> {
+/// Fails if the path of the running program is needed and unknown.
+pub fn program(args: &ArgMatches) -> anyhow::Result<PathBuf> {
+    if let Some(named) = args.get_one::<PathBuf>("daemon") {
+        return Ok(named.clone());
+    }
     let own = std::env::current_exe().context("path of this program")?;
     Ok(own.with_file_name("cuminspreadd"))
 }
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -3,11 +3,11 @@
 //! Each slope starts daemons in processes of their own for each size, and reads the processor time,
 //! memory and peer traffic of the first.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command};
 use serde::Serialize;
 
 use crate::path::caller::{self, Phase};
@@ -130,13 +130,7 @@
                 .value_parser(Slope::ALL.map(Slope::label))
                 .help("One slope in place of all"),
         )
-        .arg(
-            Arg::new("daemon")
-                .long("daemon")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
-                .help("Program of the daemon; by default beside this one"),
-        )
+        .arg(process::program_arg())
 }
 
 /// Runs the subcommand.
@@ -145,8 +139,7 @@
 ///
 /// Fails if a daemon can't be started or a connection breaks.
 pub fn run(args: &ArgMatches) -> anyhow::Result<()> {
-    let program = args.get_one::<PathBuf>("daemon").cloned();
-    let program = program.map_or_else(process::default_program, Ok)?;
+    let program = process::program(args)?;
     let seconds = args.get_one("seconds").copied().unwrap_or(1u64);
     let span = Duration::from_secs(seconds);
     let only = args.get_one::<String>("only");
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -181,8 +181,14 @@
         let mut to = k.mesh.near();
         to.extend(k.mesh.relays());
         drop(k);
-        for peer in to {
-            self.gossip.send(peer, &notice);
+        self.tell(&to, &notice);
+    }
+
+    fn tell(&self, peers: &[SocketAddr], notice: &Notice) {
+        for peer in peers {
+            if !self.gossip.send(*peer, notice) {
+                log::debug!("event=notice_unsent peer={peer}");
+            }
         }
     }
 
@@ -228,10 +234,7 @@
     /// Tells peers that a request crashed a server; relays pass it on in their data centres.
     fn send_crash(&self, k: &mut Knowledge, report: CrashReport) {
         for (peers, relay) in [(k.mesh.near(), false), (k.mesh.relays(), true)] {
-            let notice = Notice::Crash(CrashReport { relay, ..report });
-            for peer in peers {
-                self.gossip.send(peer, &notice);
-            }
+            self.tell(&peers, &Notice::Crash(CrashReport { relay, ..report }));
         }
     }
 
@@ -244,9 +247,7 @@
             relay: false,
             ..report
         });
-        for peer in near {
-            self.gossip.send(peer, &notice);
-        }
+        self.tell(&near, &notice);
     }
 
     /// Does what is due; gives the time of the next thing.
@@ -266,10 +267,8 @@
         if !greet.is_empty() {
             let hello = Notice::Hello(k.mesh.me().clone());
             let questions = self.questions(now);
-            for peer in greet {
-                self.gossip.send(peer, &hello);
-                self.gossip.send(peer, &questions);
-            }
+            self.tell(&greet, &hello);
+            self.tell(&greet, &questions);
         }
         let gone = k.catalog.sweep(now);
         let daemons = k.mesh.size();
--- a/cuminspreadd/src/edge/control/news.rs
+++ b/cuminspreadd/src/edge/control/news.rs
@@ -99,16 +99,7 @@
         sleep(ECHO).await;
         let mut k = self.lock();
         let (near, relays) = (k.mesh.near(), k.mesh.relays());
-        let mut bulletin = Bulletin {
-            reader: k.mesh.me().clone(),
-            age: ECHO,
-            extent,
-            base: extent.revision,
-            changes: Vec::new(),
-            routing: None,
-            holds: true,
-            relay: false,
-        };
+        let mut bulletin = extent_only(k.mesh.me().clone(), ECHO, extent);
         drop(k);
         self.send_bulletin(&near, &bulletin);
         bulletin.relay = true;
@@ -116,12 +107,7 @@
     }
 
     fn send_bulletin(&self, to: &[SocketAddr], bulletin: &Bulletin) {
-        let notice = Notice::Bulletin(Box::new(bulletin.clone()));
-        for peer in to {
-            if !self.gossip.send(*peer, &notice) {
-                log::debug!("event=bulletin_unsent peer={peer}");
-            }
-        }
+        self.tell(to, &Notice::Bulletin(Box::new(bulletin.clone())));
     }
 
     pub(super) fn take_notice(self: &Arc<Self>, from: SocketAddr, notice: Notice) {
@@ -285,16 +271,7 @@
         };
         let peers: Vec<SocketAddr> = (0..TOLD).filter_map(|_| k.mesh.any_near()).collect();
         drop(k);
-        let bulletin = Bulletin {
-            reader,
-            age: now.since(at),
-            extent,
-            base: extent.revision,
-            changes: Vec::new(),
-            routing: None,
-            holds: true,
-            relay: false,
-        };
+        let bulletin = extent_only(reader, now.since(at), extent);
         self.send_bulletin(&peers, &bulletin);
     }
 
@@ -398,20 +375,30 @@
     log::info!("event=peer_known peer={address} data_centre={place}");
 }
 
+/// Bulletin that says how far news goes, without any change.
+fn extent_only(reader: Daemon, age: Duration, extent: Extent) -> Bulletin {
+    Bulletin {
+        reader,
+        age,
+        extent,
+        base: extent.revision,
+        changes: Vec::new(),
+        routing: None,
+        holds: true,
+        relay: false,
+    }
+}
+
 /// Splits news into parts that fit datagrams; of too many changes none is sent, and peers pull them.
 fn bulletins(reader: &Daemon, extent: Extent, base: u64, changes: &[Dated]) -> Vec<Bulletin> {
+    let none = extent_only(reader.clone(), Duration::ZERO, extent);
     let whole = |base, changes| Bulletin {
-        reader: reader.clone(),
-        age: Duration::ZERO,
-        extent,
         base,
         changes,
-        routing: None,
-        holds: true,
-        relay: false,
+        ..none.clone()
     };
     if changes.len() > CHANGES_PER_PART * MAX_PARTS {
-        return vec![whole(extent.revision, Vec::new())];
+        return vec![none];
     }
     let mut parts = Vec::new();
     let mut base = base;
--- a/cuminspreadd/src/edge/crash.rs
+++ b/cuminspreadd/src/edge/crash.rs
@@ -49,13 +49,6 @@
 
 impl Default for CrashWatch {
     fn default() -> Self {
-        Self::new()
-    }
-}
-
-impl CrashWatch {
-    /// Watch that knows nothing yet.
-    pub fn new() -> Self {
         Self {
             crashes: Crashes::new(CrashSettings {
                 crashes: CONVICTING,
@@ -69,7 +62,9 @@
             ids: RandomState::new(),
         }
     }
+}
 
+impl CrashWatch {
     /// Whether requests like this one are refused.
     pub fn refuses(&self, now: Mono, out: &Outgoing) -> bool {
         !self.crashes.is_empty() && self.crashes.refuses(now, fingerprint(out))
