reader: a daemon that hears of its own read stays the reader

Cause: peers that pull an update announce it with the daemon that made the read as its reader, also to that daemon. It took this for another daemon's read, became a follower and stopped reading for 1.3 to 1.7 s, until a takeover.

Ruled out: a second reader (no other read is logged in that time).

Change: a read by a daemon of the same rank, which is this daemon, is ignored.

Test: a_reader_that_hears_of_its_own_read_goes_on_reading; before: the role is Follower after the echo.

--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -198,7 +198,12 @@
     }
 
     /// Records that another daemon read the store, `age` ago.
+    ///
+    /// Peers that pull an update also name this daemon's own reads to it; these have no effect.
     pub fn record_peer_read(&mut self, now: Mono, rank: u64, age: Duration) {
+        if rank == self.rank {
+            return;
+        }
         let read = now - age;
         if self.last_read.is_none_or(|last| read > last) {
             self.last_read = Some(read);
--- a/cuminspread/tests/reader.rs
+++ b/cuminspread/tests/reader.rs
@@ -230,6 +230,20 @@
     }
 }
 
+#[test]
+fn a_reader_that_hears_of_its_own_read_goes_on_reading() {
+    let rank = 3;
+    let settings = ReaderSettings::default();
+    let interval = settings.interval;
+    let mut schedule = ReadSchedule::new(settings, rank, 1, Duration::ZERO);
+    let now = Mono(1_000_000);
+    assert!(schedule.begin(now).is_some());
+    schedule.succeeded(now);
+    schedule.record_peer_read(now + Duration::from_millis(20), rank, Duration::from_millis(20));
+    assert_eq!(schedule.role(), Role::Reader);
+    assert_eq!(schedule.next_read(), Some(now + interval));
+}
+
 #[test]
 fn a_store_that_refuses_half_of_the_daemons_is_read_by_the_rest() {
     let mut fleet = Fleet::new(141);
