store: a history longer than one answer is read without pauses

Cause: the store returns at most about 500 changes at a time.

Ruled out: a slow store (each read took 10 ms).

Change: an answer that ends with a change of the revision that it is complete to may be cut; the reader then reads again at once, and publishes when it has caught up, since peers would pull each part by itself.

--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -219,9 +219,9 @@
         self.next_read = self.next_read.max(next);
     }
 
-    /// Makes a read due now; called after the daemon was paused or the time jumped, when its data
-    /// may be old.
-    pub fn resumed(&mut self, now: Mono) {
+    /// Makes a read due now: after a pause of the process, when its data may be old, or when a read
+    /// returned only a part of the changes.
+    pub fn read_now(&mut self, now: Mono) {
         self.next_read = self.next_read.min(now);
     }
 
--- a/cuminspread/tests/reader.rs
+++ b/cuminspread/tests/reader.rs
@@ -262,6 +262,6 @@
     let now = Mono(1_000_000);
     schedule.record_peer_read(now, 1, Duration::ZERO);
     assert_eq!(schedule.begin(now), None);
-    schedule.resumed(now);
+    schedule.read_now(now);
     assert!(schedule.begin(now).is_some());
 }
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -269,7 +269,7 @@
         let late = now.since(state.next_tick);
         if late > PAUSE_THRESHOLD {
             log::warn!("event=paused for_ms={}", late.as_millis());
-            state.read_schedule.resumed(now);
+            state.read_schedule.read_now(now);
         }
         let crashes = self.edge.crash_tracker().take_unsent(now);
         for report in crashes {
@@ -379,6 +379,9 @@
         if !partial {
             state.read_schedule.succeeded(now);
         }
+        if result.may_have_more {
+            state.read_schedule.read_now(now);
+        }
         let lapsed = now < state.lapse_until;
         let new = match result.servers {
             Servers::Sample(sample) => {
@@ -399,7 +402,8 @@
             self.edge.activate(routing, "store");
         }
         self.apply_changes(&new, "store", Duration::ZERO);
-        if !partial {
+        // Peers would pull each part of a long history by itself.
+        if !partial && !result.may_have_more {
             self.publish();
         }
     }
--- a/cuminspreadd/tests/edge/sync.rs
+++ b/cuminspreadd/tests/edge/sync.rs
@@ -207,6 +207,34 @@
     }
 }
 
+#[tokio::test]
+async fn a_change_behind_many_others_is_active_within_the_bound() {
+    let fixture = Fixture::new(1, prefixed("a", "/a/")).await;
+    let daemons = start_fleet(&fixture, 2).await;
+    // More changes than the store returns in a few answers.
+    let address = fixture.servers[0].address();
+    for i in 0..400 {
+        fixture
+            .store
+            .put_server(&format!("i-other-{i}"), "orders", address, &json!({}));
+    }
+    fixture
+        .store
+        .put_config(config_text(9, &[prefixed("b", "/b/")], 15.0));
+    let took = wait_for("version 9", async || {
+        let mut all_active = true;
+        for daemon in &daemons {
+            all_active &= status(daemon, "/b/1").await == 200;
+        }
+        all_active
+    })
+    .await;
+    assert!(took < UPDATE_BOUND, "{took:?}");
+    for daemon in daemons {
+        daemon.kill();
+    }
+}
+
 #[tokio::test]
 async fn invalid_registry_entries_are_ignored() {
     let fixture = Fixture::new(1, RouteRow::default()).await;
