store: a store that comes back from an older copy takes nothing back

Cause: in a drill the store loses some seconds of what it acknowledged, gives its revisions out again and raises Store-Era by one.

Change: a revision is (era, number), ordered so, in the catalog and between daemons. A message carries its era in an extension after its body, with the sender's format (2); daemons of format 1 ignore it, and what they send has the unknown era 0, which is older than any other. An answer or an update of an older era is dropped.

A server that has been removed and is listed by the copy stays removed until it reports in the new era or its entry has stayed for 10 s, longer than the three missed heartbeats after which the store drops it. A leaving server stays so for its incarnation; configurations only grow, as before.

Tests (the stand-in of the store has the drill): tests/catalog.rs, 11 cases; edge/restore.rs.

--- a/cumin/src/fleet.rs
+++ b/cumin/src/fleet.rs
@@ -58,13 +58,14 @@
     };
     println!(
         "{} in {}: {state}, {} requests in flight, version {} with {} routes{active}, store {store}{reader}, \
-         revision {}, {} daemons",
+         revision {} of era {}, {} daemons",
         status.name,
         status.data_centre,
         status.in_flight,
         status.version,
         status.routes,
         status.revision,
+        status.era,
         status.daemons
     );
     let mut services: BTreeMap<&str, [usize; 3]> = BTreeMap::new();
--- a/cuminspread/src/coordination/catalog.rs
+++ b/cuminspread/src/coordination/catalog.rs
@@ -7,8 +7,14 @@
 //! Load pattern: after an outage of some seconds the registry has dropped the entries of live
 //! servers. Such lapsed entries stay in use for [`LAPSE_GRACE`], in which live servers register
 //! again.
+//!
+//! A store may also come back from an older copy, which begins a new era: it numbers its writes
+//! from the copy on, so revisions are compared by era first. The copy lacks live servers, which
+//! lapse as above, and holds servers that have left since. The latter stay removed until they
+//! report again or their entries have outlived [`RESTORED_HOLD`].
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,11 +25,40 @@
 
 /// Time for which a lapsed entry stays in use: servers register again within 2 s, plus a margin.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2500);
+/// Time for which the entry of a removed server that an older copy of the store has brought back
+/// must stay in the registry before the server is used again. The registry drops the entry of a
+/// server that has left after three missed heartbeats, a few seconds.
+pub const RESTORED_HOLD: Duration = Duration::from_secs(10);
 /// Time for which a removed server is kept; longer than the age of any snapshot of the registry.
 const TOMBSTONE_TTL: Duration = Duration::from_secs(120);
 /// Maximum number of changes kept to update peers without a full snapshot; about 200 KB.
 const MAX_LOG_LEN: usize = 2048;
 
+/// Revision of the registry; ordered by era, then by number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Revision {
+    /// Era of the store, which rises when it comes back from an older copy; 0 if unknown. Messages
+    /// carry it outside of the revision.
+    #[serde(skip)]
+    pub era: u64,
+    /// Number of the write within the era; 0 before the first.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Whether nothing of the registry is known.
+    pub fn is_empty(self) -> bool {
+        self.number == 0
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era, self.number)
+    }
+}
+
 /// One registered server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -94,8 +129,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RevisionedChange {
-    /// Revision of the registry, which counts its writes.
-    pub revision: u64,
+    /// Revision of the registry.
+    pub revision: Revision,
     /// What changed.
     pub change: Change,
 }
@@ -103,14 +138,20 @@
 #[derive(Debug, Clone)]
 enum Presence {
     Present,
-    Lapsed { until: Mono },
-    Removed { at: Mono },
+    Lapsed {
+        until: Mono,
+    },
+    Removed {
+        at: Mono,
+        /// When a copy of the store brought the entry back; `None` while it isn't listed.
+        listed_since: Option<Mono>,
+    },
 }
 
 #[derive(Debug, Clone)]
 struct Record {
     entry: ServerEntry,
-    revision: u64,
+    revision: Revision,
     presence: Presence,
 }
 
@@ -118,16 +159,16 @@
 #[derive(Debug, Default)]
 pub struct Catalog {
     servers: BTreeMap<Name, Record>,
-    revision: u64,
+    revision: Revision,
     /// Recent changes, oldest first.
     log: VecDeque<RevisionedChange>,
     /// The log has all changes after this revision.
-    log_base: u64,
+    log_base: Revision,
 }
 
 impl Catalog {
-    /// Revision up to which the catalog is complete; 0 before the first read.
-    pub fn revision(&self) -> u64 {
+    /// Revision up to which the catalog is complete; empty before the first read.
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -145,9 +186,14 @@
     }
 
     /// Applies one change; returns whether more than a sequence number or a warm-up time is new.
+    ///
+    /// A change of an older era of the store is ignored.
     pub fn apply(&mut self, now: Mono, new: RevisionedChange) -> bool {
+        if new.revision.era < self.revision.era {
+            return false;
+        }
         let changed = match &new.change {
-            Change::Reported(entry) => self.report(entry, new.revision),
+            Change::Reported(entry) => self.report(now, entry, new.revision),
             Change::Removed { id, lapsed } => self.remove(now, id, *lapsed, new.revision),
         };
         if changed {
@@ -162,31 +208,53 @@
     }
 
     /// Marks the catalog as complete up to this revision; a lower one has no effect.
-    pub fn set_complete_to(&mut self, revision: u64) {
+    pub fn set_complete_to(&mut self, revision: Revision) {
+        if revision.era > self.revision.era && !self.revision.is_empty() {
+            self.enter_era(revision);
+        }
         self.revision = self.revision.max(revision);
     }
 
+    /// Makes the records comparable with revisions of a new era, in which all writes are newer.
+    fn enter_era(&mut self, at: Revision) {
+        let oldest = Revision {
+            era: at.era,
+            number: 0,
+        };
+        for record in self.servers.values_mut() {
+            record.revision = record.revision.max(oldest);
+        }
+        // Peers of the older era need a snapshot, since the log doesn't tell what the copy lacks.
+        self.begin_log(at);
+    }
+
+    /// Drops the log, which then has the changes after this revision.
+    fn begin_log(&mut self, at: Revision) {
+        self.log.clear();
+        self.log_base = at;
+    }
+
     /// Applies a snapshot of the registry as of revision `at`; entries missing in it were removed.
     ///
-    /// `lapsed` tells whether the missing entries may have lapsed in an outage. Returns the changes
-    /// that were new; a snapshot older than the catalog is ignored.
+    /// `lapsed` tells whether the missing entries may have lapsed in an outage; in the first
+    /// snapshot of an era they count as lapsed. Returns the changes that were new; a snapshot older
+    /// than the catalog is ignored.
     pub fn reconcile(
         &mut self,
         now: Mono,
-        at: u64,
-        snapshot: Vec<(u64, ServerEntry)>,
+        at: Revision,
+        snapshot: Vec<(Revision, ServerEntry)>,
         lapsed: bool,
     ) -> Vec<RevisionedChange> {
         if at < self.revision {
             return Vec::new();
         }
+        let lapsed = lapsed || at.era > self.revision.era;
         let listed: HashSet<&Name> = snapshot.iter().map(|(_, e)| &e.id).collect();
         let missing: Vec<Name> = self
             .servers
             .iter()
-            .filter(|(id, r)| {
-                r.revision <= at && matches!(r.presence, Presence::Present) && !listed.contains(id)
-            })
+            .filter(|(id, r)| r.revision <= at && r.is_listed() && !listed.contains(id))
             .map(|(id, _)| id.clone())
             .collect();
         let reported = snapshot
@@ -204,6 +272,10 @@
             .into_iter()
             .filter(|c| self.apply(now, c.clone()))
             .collect();
+        if self.revision.is_empty() {
+            // The first snapshot doesn't tell which servers were removed before it.
+            self.begin_log(at);
+        }
         self.set_complete_to(at);
         new
     }
@@ -217,34 +289,67 @@
             if let Presence::Lapsed { until } = record.presence
                 && now >= until
             {
-                record.presence = Presence::Removed { at: now };
+                record.presence = removed_at(now);
                 expired.push(id.clone());
             }
         }
         self.servers.retain(|_, r| match r.presence {
-            Presence::Removed { at } => now.since(at) < TOMBSTONE_TTL,
+            Presence::Removed { at, .. } => now.since(at) < TOMBSTONE_TTL,
             _ => true,
         });
         expired
     }
 
-    /// Changes after a revision; `None` if the log doesn't reach back that far or `revision` is 0.
-    pub fn changes_since(&self, revision: u64) -> Option<Vec<RevisionedChange>> {
-        if revision < self.log_base || revision == 0 {
+    /// Brings back removed servers whose entries came with a copy of the store and have been
+    /// listed for [`RESTORED_HOLD`]; returns them.
+    pub fn confirm_restored(&mut self, now: Mono) -> Vec<RevisionedChange> {
+        let mut confirmed = Vec::new();
+        for record in self.servers.values_mut() {
+            if let Presence::Removed {
+                listed_since: Some(since),
+                ..
+            } = record.presence
+                && now.since(since) >= RESTORED_HOLD
+            {
+                record.presence = Presence::Present;
+                confirmed.push(RevisionedChange {
+                    revision: record.revision,
+                    change: Change::Reported(record.entry.clone()),
+                });
+            }
+        }
+        confirmed
+    }
+
+    /// Changes after a revision; `None` if it is empty or of another era, or if the log doesn't
+    /// reach back that far.
+    pub fn changes_since(&self, revision: Revision) -> Option<Vec<RevisionedChange>> {
+        if revision < self.log_base || revision.is_empty() || revision.era != self.revision.era {
             return None;
         }
         let newer = self.log.iter().filter(|c| c.revision > revision);
         Some(newer.cloned().collect())
     }
 
-    /// Present entries, each with its revision.
-    pub fn snapshot(&self) -> Vec<(u64, ServerEntry)> {
-        let present = |r: &&Record| matches!(r.presence, Presence::Present);
-        let entries = self.servers.values().filter(present);
-        entries.map(|r| (r.revision, r.entry.clone())).collect()
+    /// Entries that the registry lists, each with its revision.
+    ///
+    /// A removed server that a copy of the store has brought back is listed as leaving, so that a
+    /// daemon without a record of its removal doesn't use it either.
+    pub fn snapshot(&self) -> Vec<(Revision, ServerEntry)> {
+        let listed = self.servers.values().filter(|r| r.is_listed());
+        listed
+            .map(|r| {
+                let is_removed = matches!(r.presence, Presence::Removed { .. });
+                let entry = ServerEntry {
+                    draining: r.entry.draining || is_removed,
+                    ..r.entry.clone()
+                };
+                (r.revision, entry)
+            })
+            .collect()
     }
 
-    fn report(&mut self, entry: &ServerEntry, revision: u64) -> bool {
+    fn report(&mut self, now: Mono, entry: &ServerEntry, revision: Revision) -> bool {
         let Some(record) = self.servers.get_mut(&entry.id) else {
             self.servers.insert(
                 entry.id.clone(),
@@ -259,6 +364,16 @@
         if revision <= record.revision || entry.is_older_than(&record.entry) {
             return false;
         }
+        // A new era begins with a copy, which may list a server that has left since. A report that
+        // is made in the new era has a later revision than this one.
+        if let Presence::Removed { listed_since, .. } = &mut record.presence
+            && revision.era > record.revision.era
+            && entry.started_ms == record.entry.started_ms
+        {
+            *listed_since = Some(now);
+            record.revision = revision;
+            return false;
+        }
         // Once an incarnation has reported that it is leaving, it stays so.
         let draining =
             entry.draining || record.entry.draining && entry.started_ms == record.entry.started_ms;
@@ -274,11 +389,17 @@
         changed
     }
 
-    fn remove(&mut self, now: Mono, id: &Name, lapsed: bool, revision: u64) -> bool {
+    fn remove(&mut self, now: Mono, id: &Name, lapsed: bool, revision: Revision) -> bool {
         let Some(record) = self.servers.get_mut(id) else {
             return false;
         };
-        if revision < record.revision || !matches!(record.presence, Presence::Present) {
+        if revision < record.revision {
+            return false;
+        }
+        if let Presence::Removed { listed_since, .. } = &mut record.presence {
+            *listed_since = None;
+        }
+        if !matches!(record.presence, Presence::Present) {
             return false;
         }
         record.revision = revision;
@@ -287,8 +408,26 @@
                 until: now + LAPSE_GRACE,
             }
         } else {
-            Presence::Removed { at: now }
+            removed_at(now)
         };
         true
     }
 }
+
+impl Record {
+    /// Whether the registry has the entry.
+    fn is_listed(&self) -> bool {
+        match self.presence {
+            Presence::Present => true,
+            Presence::Lapsed { .. } => false,
+            Presence::Removed { listed_since, .. } => listed_since.is_some(),
+        }
+    }
+}
+
+fn removed_at(now: Mono) -> Presence {
+    Presence::Removed {
+        at: now,
+        listed_since: None,
+    }
+}
--- a/cuminspread/src/protocol/gossip.rs
+++ b/cuminspread/src/protocol/gossip.rs
@@ -3,20 +3,75 @@
 //! [`GossipMessage`]s are datagrams with recent changes; a daemon that misses some sends a
 //! [`PullRequest`] over TCP. All messages are encoded as postcard, so new enum variants go at the
 //! end.
+//!
+//! [`encode`] appends an extension to a message: the sender's [`FORMAT`] and the era of the
+//! message's revisions. Daemons of format 1 neither send nor read it; their revisions have an
+//! unknown era, 0, and so are older than those of any known one. A later format may append more,
+//! which this one ignores.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::catalog::{RevisionedChange, ServerEntry};
+use crate::coordination::catalog::{Revision, RevisionedChange, ServerEntry};
 use crate::state::Name;
 use crate::state::routing::{Routing, RoutingDelta};
 
 /// Longest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
+/// Format of the messages that this daemon sends.
+pub const FORMAT: u8 = 2;
+
+/// What follows a message; only fields at the end may be added.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+struct Extension {
+    /// Format of the sender's messages.
+    format: u8,
+    /// Era of all revisions in the message; 0 if unknown or if it has none.
+    era: u64,
+}
+
+/// A message whose revisions are all of one era.
+pub trait Message: Serialize + DeserializeOwned {
+    /// Era of the revisions; 0 if it has none.
+    fn era(&self) -> u64;
+
+    /// Sets the era of all revisions.
+    fn set_era(&mut self, era: u64);
+}
+
+/// Encodes a message and its extension.
+///
+/// # Errors
+///
+/// Fails if postcard can't encode the message.
+pub fn encode(message: &impl Message) -> postcard::Result<Vec<u8>> {
+    let extension = Extension {
+        format: FORMAT,
+        era: message.era(),
+    };
+    postcard::to_extend(&extension, postcard::to_stdvec(message)?)
+}
+
+/// Decodes a message of any format.
+///
+/// # Errors
+///
+/// Fails if the bytes don't begin with a valid message, or an extension is incomplete.
+pub fn decode<T: Message>(bytes: &[u8]) -> postcard::Result<T> {
+    let (mut message, rest) = postcard::take_from_bytes::<T>(bytes)?;
+    if !rest.is_empty() {
+        let (extension, _) = postcard::take_from_bytes::<Extension>(rest)?;
+        message.set_era(extension.era);
+    }
+    Ok(message)
+}
+
 /// A daemon, as it describes itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -61,11 +116,27 @@
 #[derive(Serialize, Deserialize)]
 pub struct Versions {
     /// Revision of the registry up to which it has all changes.
-    pub revision: u64,
+    pub revision: Revision,
     /// Version of the configuration.
     pub version: u64,
 }
 
+impl Versions {
+    /// Whether a daemon with these versions has everything that `wanted` has.
+    pub fn covers(&self, wanted: &Self) -> bool {
+        self.revision >= wanted.revision && self.version >= wanted.version
+    }
+
+    /// The newer revision and the newer version of both.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            revision: self.revision.max(other.revision),
+            version: self.version.max(other.version),
+        }
+    }
+}
+
 /// Result of a successful read of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -77,7 +148,7 @@
     /// Versions that a receiver with revision `base` has after this update.
     pub versions: Versions,
     /// Revision after which `changes` are complete.
-    pub base: u64,
+    pub base: Revision,
     /// Changes of the registry after `base`, up to `versions.revision`.
     pub changes: Vec<RevisionedChange>,
     /// Difference between the latest configuration and the version before; `None` if it is
@@ -148,7 +219,7 @@
 #[derive(Serialize, Deserialize)]
 pub enum RegistryUpdate {
     /// All entries, each with its revision.
-    Snapshot(Vec<(u64, ServerEntry)>),
+    Snapshot(Vec<(Revision, ServerEntry)>),
     /// Changes after the revision in the [`PullRequest`].
     Changes(Vec<RevisionedChange>),
 }
@@ -162,9 +233,61 @@
     /// Newer part of the registry; `None` if the requester has all of it.
     pub registry: Option<RegistryUpdate>,
     /// Revision of the registry that the requester has after applying `registry`.
-    pub revision: u64,
+    pub revision: Revision,
     /// The responder is serving its maximum of pulls; the requester should try another peer.
     pub busy: bool,
     /// A sample of the peers that the responder knows.
     pub peers: Vec<KnownPeer>,
 }
+
+impl Message for GossipMessage {
+    fn era(&self) -> u64 {
+        match self {
+            Self::StoreUpdate(update) => update.versions.revision.era,
+            _ => 0,
+        }
+    }
+
+    fn set_era(&mut self, era: u64) {
+        if let Self::StoreUpdate(update) = self {
+            update.versions.revision.era = era;
+            update.base.era = era;
+            for revisioned in &mut update.changes {
+                revisioned.revision.era = era;
+            }
+        }
+    }
+}
+
+impl Message for PullRequest {
+    fn era(&self) -> u64 {
+        self.have.revision.era
+    }
+
+    fn set_era(&mut self, era: u64) {
+        self.have.revision.era = era;
+    }
+}
+
+impl Message for PullResponse {
+    fn era(&self) -> u64 {
+        self.revision.era
+    }
+
+    fn set_era(&mut self, era: u64) {
+        self.revision.era = era;
+        match &mut self.registry {
+            Some(RegistryUpdate::Snapshot(entries)) => {
+                for (revision, _) in entries {
+                    revision.era = era;
+                }
+            }
+            Some(RegistryUpdate::Changes(changes)) => {
+                for revisioned in changes {
+                    revisioned.revision.era = era;
+                }
+            }
+            None => {}
+        }
+    }
+}
--- a/cuminspread/src/transport/gossip.rs
+++ b/cuminspread/src/transport/gossip.rs
@@ -10,13 +10,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::timeout;
 
-use crate::protocol::gossip::{GossipMessage, MAX_DATAGRAM_BYTES, PullRequest, PullResponse};
+use crate::protocol::gossip::{
+    self, GossipMessage, MAX_DATAGRAM_BYTES, Message, PullRequest, PullResponse,
+};
 
 /// Longest time for a pull, on either side; enough for a 10 Mbit/s link, as a snapshot is below
 /// 100 KB.
@@ -27,9 +27,9 @@
 /// Traffic counts since the start.
 #[derive(Debug, Default)]
 pub struct GossipCounts {
-    /// Bytes sent, without IP, UDP and TCP headers; pull requests are not counted.
+    /// Bytes sent, without IP, UDP and TCP headers.
     pub sent_bytes: AtomicU64,
-    /// Bytes received, without IP, UDP and TCP headers; pull requests are not counted.
+    /// Bytes received, without IP, UDP and TCP headers.
     pub received_bytes: AtomicU64,
     /// Datagrams that could not be sent or parsed.
     pub dropped: AtomicU64,
@@ -79,7 +79,7 @@
     ///
     /// Returns whether it fitted into [`MAX_DATAGRAM_BYTES`] and the operating system took it.
     pub fn send(&self, to: SocketAddr, message: &GossipMessage) -> bool {
-        let bytes = postcard::to_stdvec(message).ok();
+        let bytes = gossip::encode(message).ok();
         let bytes = bytes.filter(|b| b.len() <= MAX_DATAGRAM_BYTES);
         let sent = bytes.and_then(|b| self.udp.try_send_to(&b, to).ok());
         match sent {
@@ -103,7 +103,7 @@
             };
             let received = &self.counts.received_bytes;
             received.fetch_add(len as u64, Ordering::Relaxed);
-            match postcard::from_bytes(&buf[..len]) {
+            match gossip::decode(&buf[..len]) {
                 Ok(message) => return (from, message),
                 Err(e) => {
                     self.counts.dropped.fetch_add(1, Ordering::Relaxed);
@@ -134,12 +134,9 @@
         respond: impl FnOnce(PullRequest) -> io::Result<Arc<[u8]>>,
     ) -> io::Result<()> {
         let serve = async {
-            let (req, _) = read(&mut stream).await?;
+            let req = self.read(&mut stream).await?;
             let bytes = respond(req)?;
-            write(&mut stream, &bytes).await?;
-            let sent = &self.counts.sent_bytes;
-            sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-            Ok(())
+            self.write(&mut stream, &bytes).await
         };
         timeout(PULL_TIMEOUT, serve).await?
     }
@@ -152,40 +149,44 @@
     pub async fn pull(&self, from: SocketAddr, req: PullRequest) -> io::Result<PullResponse> {
         let pull = async {
             let mut stream = TcpStream::connect(from).await?;
-            write(&mut stream, &encode(&req)?).await?;
-            let (response, len) = read(&mut stream).await?;
-            let received = &self.counts.received_bytes;
-            received.fetch_add(len as u64, Ordering::Relaxed);
-            Ok(response)
+            self.write(&mut stream, &encode(&req)?).await?;
+            self.read(&mut stream).await
         };
         timeout(PULL_TIMEOUT, pull).await?
     }
-}
 
-/// Reads a length and a value; returns the length, too.
-async fn read<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<(T, usize)> {
-    let len = stream.read_u32().await? as usize;
-    if len > MAX_PULL_BYTES {
-        return Err(io::ErrorKind::InvalidData.into());
+    /// Reads a length and a message.
+    async fn read<T: Message>(&self, stream: &mut TcpStream) -> io::Result<T> {
+        let len = stream.read_u32().await? as usize;
+        if len > MAX_PULL_BYTES {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let mut bytes = Vec::new();
+        let read = stream.take(len as u64).read_to_end(&mut bytes).await?;
+        let received = &self.counts.received_bytes;
+        received.fetch_add(read as u64, Ordering::Relaxed);
+        if read < len {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        gossip::decode(&bytes).map_err(io::Error::other)
     }
-    let mut bytes = Vec::new();
-    stream.take(len as u64).read_to_end(&mut bytes).await?;
-    let value = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
-    Ok((value, len))
-}
 
-async fn write(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
-    let len = u32::try_from(bytes.len()).map_err(io::Error::other)?;
-    stream.write_u32(len).await?;
-    stream.write_all(bytes).await
+    async fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+        let len = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+        stream.write_u32(len).await?;
+        stream.write_all(bytes).await?;
+        let sent = &self.counts.sent_bytes;
+        sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        Ok(())
+    }
 }
 
 /// Encodes a request or response of a pull, without its length.
 ///
 /// # Errors
 ///
-/// Fails if postcard can't encode the value.
-pub fn encode(value: &impl Serialize) -> io::Result<Arc<[u8]>> {
-    let bytes = postcard::to_stdvec(value).map_err(io::Error::other)?;
+/// Fails if postcard can't encode the message.
+pub fn encode(message: &impl Message) -> io::Result<Arc<[u8]>> {
+    let bytes = gossip::encode(message).map_err(io::Error::other)?;
     Ok(bytes.into())
 }
--- a/cuminspread/tests/catalog.rs
+++ b/cuminspread/tests/catalog.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cuminspread::coordination::catalog::{
-    Catalog, Change, LAPSE_GRACE, RevisionedChange, ServerEntry,
+    Catalog, Change, LAPSE_GRACE, RESTORED_HOLD, Revision, RevisionedChange, ServerEntry,
 };
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
@@ -42,16 +42,25 @@
     }
 }
 
+/// Revision of the first era.
+fn first_era(number: u64) -> Revision {
+    Revision { era: 1, number }
+}
+
+fn second_era(number: u64) -> Revision {
+    Revision { era: 2, number }
+}
+
 fn reported(report: Report) -> RevisionedChange {
     RevisionedChange {
-        revision: report.revision,
+        revision: first_era(report.revision),
         change: Change::Reported(entry(report)),
     }
 }
 
 fn removed(revision: u64, lapsed: bool) -> RevisionedChange {
     RevisionedChange {
-        revision,
+        revision: first_era(revision),
         change: Change::Removed {
             id: Name::new(ID),
             lapsed,
@@ -263,14 +272,18 @@
 fn entries_missing_in_a_snapshot_are_removed() {
     let mut catalog = Catalog::default();
     catalog.apply(at(0), reported(FIRST));
-    catalog.set_complete_to(10);
-    let new = catalog.reconcile(at(100), 20, Vec::new(), false);
+    catalog.set_complete_to(first_era(10));
+    let new = catalog.reconcile(at(100), first_era(20), Vec::new(), false);
     assert_eq!(new.len(), 1);
     assert_eq!(status(&catalog), Status::Gone);
-    assert_eq!(catalog.revision(), 20);
+    assert_eq!(catalog.revision(), first_era(20));
     // A snapshot older than the catalog is ignored.
-    let old = vec![(10, entry(FIRST))];
-    assert!(catalog.reconcile(at(200), 15, old, false).is_empty());
+    let old = vec![(first_era(10), entry(FIRST))];
+    assert!(
+        catalog
+            .reconcile(at(200), first_era(15), old, false)
+            .is_empty()
+    );
     assert_eq!(status(&catalog), Status::Gone);
 }
 
@@ -285,9 +298,197 @@
     };
     assert!(!catalog.apply(at(0), reported(only_sequence)));
     catalog.apply(at(0), removed(12, false));
-    catalog.set_complete_to(12);
-    assert_eq!(catalog.changes_since(10).map(|c| c.len()), Some(1));
-    assert_eq!(catalog.changes_since(12).map(|c| c.len()), Some(0));
+    catalog.set_complete_to(first_era(12));
+    assert_eq!(
+        catalog.changes_since(first_era(10)).map(|c| c.len()),
+        Some(1)
+    );
+    assert_eq!(
+        catalog.changes_since(first_era(12)).map(|c| c.len()),
+        Some(0)
+    );
     // A daemon without any revision needs a snapshot.
-    assert_eq!(catalog.changes_since(0), None);
+    assert_eq!(catalog.changes_since(first_era(0)), None);
+}
+
+#[test]
+fn a_store_that_comes_back_from_a_copy_takes_nothing_back() {
+    struct Case {
+        what: &'static str,
+        /// Changes in the first era; the catalog is complete to revision 20 then.
+        before: Vec<RevisionedChange>,
+        /// Entries of the copy, as the first snapshot of the second era lists them.
+        copy: Vec<(Revision, ServerEntry)>,
+        /// Changes in the second era after that snapshot.
+        after: Vec<RevisionedChange>,
+        /// State right after the snapshot, and after the changes.
+        states: (Status, Status),
+        /// State once all times for which entries are kept or held are over.
+        end: Status,
+    }
+    let ready = || Status::Ready { port: 80 };
+    let leaving = Report {
+        revision: 12,
+        sequence: 6,
+        draining: true,
+        ..FIRST
+    };
+    let again = Report {
+        sequence: 9,
+        ..FIRST
+    };
+    let in_second_era = |number, change: RevisionedChange| RevisionedChange {
+        revision: second_era(number),
+        ..change
+    };
+    let copy_of = |report| vec![(second_era(10), entry(report))];
+    let cases = [
+        Case {
+            what: "a live server that the copy lacks keeps its work until it reports again",
+            before: vec![reported(FIRST)],
+            copy: Vec::new(),
+            after: vec![in_second_era(13, reported(again))],
+            states: (ready(), ready()),
+            end: ready(),
+        },
+        Case {
+            what: "a server that the copy lacks and that doesn't report is gone in the end",
+            before: vec![reported(FIRST)],
+            copy: Vec::new(),
+            after: Vec::new(),
+            states: (ready(), ready()),
+            end: Status::Gone,
+        },
+        Case {
+            what: "a removed server is not brought back by the copy that lists it",
+            before: vec![reported(FIRST), removed(12, false)],
+            copy: copy_of(FIRST),
+            after: vec![in_second_era(14, removed(0, false))],
+            states: (Status::Gone, Status::Gone),
+            end: Status::Gone,
+        },
+        Case {
+            what: "nor by the same entry in a later snapshot",
+            before: vec![reported(FIRST), removed(12, false)],
+            copy: copy_of(FIRST),
+            after: vec![
+                in_second_era(10, reported(FIRST)),
+                in_second_era(14, removed(0, false)),
+            ],
+            states: (Status::Gone, Status::Gone),
+            end: Status::Gone,
+        },
+        Case {
+            what: "a removed server that reports in the new era is back",
+            before: vec![reported(FIRST), removed(12, false)],
+            copy: copy_of(FIRST),
+            after: vec![in_second_era(13, reported(again))],
+            states: (Status::Gone, ready()),
+            end: ready(),
+        },
+        Case {
+            what: "a removed server whose entry outlives the hold is back",
+            before: vec![reported(FIRST), removed(12, false)],
+            copy: copy_of(FIRST),
+            after: Vec::new(),
+            states: (Status::Gone, Status::Gone),
+            end: ready(),
+        },
+        Case {
+            what: "a new incarnation in the copy is used at once",
+            before: vec![reported(FIRST), removed(12, false)],
+            copy: copy_of(Report {
+                started_ms: 200,
+                sequence: 0,
+                ..FIRST
+            }),
+            after: Vec::new(),
+            states: (ready(), ready()),
+            end: ready(),
+        },
+        Case {
+            what: "a leaving server stays so, though the copy lists it as ready",
+            before: vec![reported(FIRST), reported(leaving)],
+            copy: copy_of(FIRST),
+            after: vec![in_second_era(13, reported(again))],
+            states: (Status::Leaving, Status::Leaving),
+            end: Status::Leaving,
+        },
+        Case {
+            what: "a lapsed server that the copy lists is present",
+            before: vec![reported(FIRST), removed(12, true)],
+            copy: copy_of(FIRST),
+            after: Vec::new(),
+            states: (ready(), ready()),
+            end: ready(),
+        },
+        Case {
+            what: "a change of the new era is new although its number is known",
+            before: vec![reported(FIRST)],
+            copy: copy_of(FIRST),
+            after: vec![in_second_era(13, reported(leaving))],
+            states: (ready(), Status::Leaving),
+            end: Status::Leaving,
+        },
+        Case {
+            what: "a change of the old era is ignored, whatever its number",
+            before: vec![reported(FIRST)],
+            copy: copy_of(FIRST),
+            after: vec![removed(99, false)],
+            states: (ready(), ready()),
+            end: ready(),
+        },
+    ];
+    for case in cases {
+        let mut catalog = Catalog::default();
+        for change in case.before {
+            catalog.apply(at(0), change);
+        }
+        catalog.set_complete_to(first_era(20));
+        catalog.reconcile(at(1000), second_era(12), case.copy, false);
+        assert_eq!(catalog.revision(), second_era(12), "{}", case.what);
+        assert_eq!(status(&catalog), case.states.0, "{}", case.what);
+        for change in case.after {
+            catalog.apply(at(1500), change);
+        }
+        assert_eq!(status(&catalog), case.states.1, "{}", case.what);
+        let end = at(1000) + LAPSE_GRACE + RESTORED_HOLD;
+        catalog.expire(end);
+        catalog.confirm_restored(end);
+        assert_eq!(status(&catalog), case.end, "{}", case.what);
+    }
+}
+
+#[test]
+fn peers_of_an_older_era_need_a_snapshot() {
+    let mut catalog = Catalog::default();
+    catalog.apply(at(0), reported(FIRST));
+    catalog.set_complete_to(first_era(20));
+    // The copy was as old as revision 10; its entry has left since.
+    catalog.apply(at(0), removed(21, false));
+    catalog.reconcile(
+        at(100),
+        second_era(12),
+        vec![(second_era(10), entry(FIRST))],
+        false,
+    );
+    for known in [first_era(5), first_era(12), first_era(20), second_era(11)] {
+        assert_eq!(catalog.changes_since(known), None, "{known}");
+    }
+    let since = catalog.changes_since(second_era(12));
+    assert_eq!(since.map(|c| c.len()), Some(0));
+    // A peer without a record of the removal must not use the server.
+    let mut peer = Catalog::default();
+    peer.reconcile(at(200), second_era(12), catalog.snapshot(), false);
+    assert_eq!(status(&peer), Status::Leaving);
+}
+
+#[test]
+fn the_first_snapshot_does_not_tell_peers_what_was_removed_before() {
+    let mut catalog = Catalog::default();
+    let snapshot = vec![(first_era(10), entry(FIRST))];
+    catalog.reconcile(at(0), first_era(20), snapshot, false);
+    assert_eq!(catalog.changes_since(first_era(15)), None);
+    let since = catalog.changes_since(first_era(20));
+    assert_eq!(since.map(|c| c.len()), Some(0));
 }
--- a/cuminspread/tests/reader.rs
+++ b/cuminspread/tests/reader.rs
@@ -239,7 +239,11 @@
     let now = Mono(1_000_000);
     assert!(schedule.begin(now).is_some());
     schedule.succeeded(now);
-    schedule.record_peer_read(now + Duration::from_millis(20), rank, Duration::from_millis(20));
+    schedule.record_peer_read(
+        now + Duration::from_millis(20),
+        rank,
+        Duration::from_millis(20),
+    );
     assert_eq!(schedule.role(), Role::Reader);
     assert_eq!(schedule.next_read(), Some(now + interval));
 }
--- a/cuminspreadd/src/edge/admin.rs
+++ b/cuminspreadd/src/edge/admin.rs
@@ -45,7 +45,10 @@
     pub active_ms: Option<u64>,
     /// Active routes.
     pub routes: usize,
-    /// Revision of the registry.
+    /// Era of the store, which rises when it comes back from an older copy; 0 if unknown.
+    #[serde(default)]
+    pub era: u64,
+    /// Revision of the registry in that era.
     pub revision: u64,
     /// Time since any daemon read the store, in milliseconds; `None` if none has.
     pub store_age_ms: Option<u64>,
@@ -159,7 +162,8 @@
     let gauges = &edge.metrics.gauges;
     gauges.in_flight.set(edge.in_flight() as i64);
     gauges.version.set(edge.version());
-    gauges.revision.set(synced.revision);
+    gauges.era.set(synced.revision.era);
+    gauges.revision.set(synced.revision.number);
     gauges.daemons.set(synced.daemons as i64);
     gauges.sent.set(synced.sent_bytes);
     gauges.received.set(synced.received_bytes);
@@ -219,7 +223,8 @@
         version: table.routing().version,
         active_ms: edge.active_for().map(|age| age.as_millis() as u64),
         routes: table.routing().routes.len(),
-        revision: synced.revision,
+        era: synced.revision.era,
+        revision: synced.revision.number,
         store_age_ms: synced.store_age.map(|age| age.as_millis() as u64),
         reader: synced.reader.map(|address| address.to_string()),
         reads_store: synced.reads_store,
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use cuminspread::coordination::catalog::{Catalog, Change, RevisionedChange};
+use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{ReadSchedule, Role};
 use cuminspread::protocol::gossip::{CrashReport, Daemon, GossipMessage, PullResponse, Versions};
@@ -62,12 +62,14 @@
     read_schedule: ReadSchedule,
     mesh: Mesh,
     /// Revisions of the last updates that this daemon published, newest last.
-    published_revisions: Vec<u64>,
+    published_revisions: Vec<Revision>,
     /// Version of the last published update, and the version published before that one.
     published_version: u64,
     previous_version: u64,
     /// Peer that can serve a newer revision or version than this daemon has.
     newer_peer: Option<SocketAddr>,
+    /// Newest versions that any daemon is known to have.
+    wanted: Versions,
     /// Daemon that made the last known read of the store, and the time of that read.
     last_read: Option<(Daemon, Mono)>,
     /// Time until which missing entries may have lapsed during an outage of the store.
@@ -148,6 +150,7 @@
             published_version: 0,
             previous_version: 0,
             newer_peer: None,
+            wanted: Versions::default(),
             last_read: None,
             lapse_until: Mono::default(),
             next_tick: edge.now(),
@@ -283,6 +286,7 @@
             self.send_all(&targets, &probe_rate);
         }
         let expired = state.catalog.expire(now);
+        let confirmed = state.catalog.confirm_restored(now);
         let daemons = state.mesh.size();
         state.read_schedule.set_daemons(daemons);
         if let Some(limit) = state.read_schedule.begin(now) {
@@ -305,6 +309,10 @@
             log::info!("event=server_gone server={id} cause=lapsed");
             servers.remove(&id);
         }
+        drop(servers);
+        if !confirmed.is_empty() {
+            self.apply_changes(&confirmed, "hold", Duration::ZERO);
+        }
         next
     }
 
@@ -313,7 +321,7 @@
     /// Callers already send requests then, and the seeds may not have started yet.
     async fn read_sample(self: Arc<Self>) {
         sleep(SAMPLE_DELAY).await;
-        if self.lock().catalog.revision() > 0 {
+        if !self.lock().catalog.revision().is_empty() {
             return;
         }
         let salt = self.lock().mesh.me().rank().wrapping_mul(GOLDEN_RATIO) ^ self.edge.started_ms;
@@ -327,14 +335,20 @@
         }
     }
 
-    /// Reads the changes after a revision, or a snapshot if `after` is 0 or its history is gone.
-    async fn read(self: Arc<Self>, after: u64, limit: Duration) {
-        let mut result = if after == 0 {
+    /// Reads the changes after a revision, or a snapshot if `after` is empty, its history is gone or
+    /// it is of an earlier era of the store.
+    async fn read(self: Arc<Self>, after: Revision, limit: Duration) {
+        let mut result = if after.is_empty() {
             self.store.read_snapshot(limit).await
         } else {
-            self.store.read_changes(after, limit).await
+            self.store.read_changes(after.number, limit).await
+        };
+        let history_is_gone = match &result {
+            // In another era, the same number stands for another write.
+            Ok(result) => !after.is_empty() && result.revision.era > after.era,
+            Err(e) => matches!(e, ReadError::Compacted),
         };
-        if let Err(ReadError::Compacted) = result {
+        if history_is_gone {
             log::info!("event=store_history_gone after={after}");
             self.edge.metrics.count_read("compacted");
             result = self.store.read_snapshot(limit).await;
@@ -363,16 +377,32 @@
 
     fn handle_read_result(self: &Arc<Self>, result: ReadResult) {
         let now = self.edge.now();
-        self.edge.metrics.count_read("answered");
         let mut state = self.lock();
+        let known = state.catalog.revision();
+        if result.revision.era < known.era {
+            // Sent before the store came back from a copy; a peer's update was faster.
+            let answered = result.revision;
+            state.read_schedule.failed(now);
+            drop(state);
+            self.edge.metrics.count_read("outdated");
+            log::info!("event=store_answer_outdated revision={answered} known={known}");
+            return;
+        }
+        self.edge.metrics.count_read("answered");
         if state.read_schedule.failures() > 0 {
             let age = state.read_schedule.age(now).unwrap_or_default().as_millis();
             log::info!("event=store_regained last_read_ms={age}");
         }
-        if state.read_schedule.is_outage(now) {
+        let restored = !known.is_empty() && result.revision.era > known.era;
+        if restored {
+            let revision = result.revision;
+            log::warn!("event=store_restored revision={revision} before={known}");
+            state.published_revisions.clear();
+        }
+        if restored || state.read_schedule.is_outage(now) {
             state.lapse_until = now + LAPSE_WINDOW;
         }
-        if state.read_schedule.role() == Role::Follower && result.revision > 0 {
+        if state.read_schedule.role() == Role::Follower && !result.revision.is_empty() {
             log::info!("event=reads_store revision={}", result.revision);
         }
         let partial = matches!(result.servers, Servers::Sample(_));
@@ -396,7 +426,9 @@
             Servers::Snapshot(all) => state.catalog.reconcile(now, result.revision, all, lapsed),
             Servers::Changes(changes) => apply_to_catalog(&mut state.catalog, now, changes, lapsed),
         };
-        state.catalog.set_complete_to(result.revision);
+        if !partial {
+            state.catalog.set_complete_to(result.revision);
+        }
         drop(state);
         if let Some(routing) = result.routing {
             self.edge.activate(routing, "store");
@@ -466,7 +498,7 @@
     /// Daemons heard recently, this one included.
     pub daemons: usize,
     /// Revision of the registry.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether this daemon reads the store and sends the changes to its peers.
     pub reads_store: bool,
     /// Time since the last known successful read of any daemon; `None` if there was none.
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-use cuminspread::coordination::catalog::RevisionedChange;
+use cuminspread::coordination::catalog::{Revision, RevisionedChange};
 use cuminspread::coordination::reader::Role;
 use cuminspread::protocol::gossip::{
     Daemon, GossipMessage, PullRequest, PullResponse, RegistryUpdate, RoutingUpdate, StoreUpdate,
@@ -133,7 +133,7 @@
             GossipMessage::Peers(peers) => {
                 let mut state = self.lock();
                 let new = state.mesh.merge_known(now, &peers);
-                let is_empty = state.catalog.revision() == 0;
+                let is_empty = state.catalog.revision().is_empty();
                 let near = state.mesh.near_peers();
                 drop(state);
                 for daemon in &new {
@@ -142,7 +142,7 @@
                 if is_empty {
                     // A daemon that has just started doesn't wait for an update.
                     let wanted = Versions {
-                        revision: 1,
+                        revision: Revision { era: 0, number: 1 },
                         version: 1,
                     };
                     let first = near.first().copied().unwrap_or(from);
@@ -165,17 +165,21 @@
         let reader = update.reader.address;
         let mut state = self.lock();
         record_peer(&mut state, now, &update.reader);
-        state.last_read = Some((update.reader.clone(), now - update.age));
-        let previous_role = state.read_schedule.role();
-        state
-            .read_schedule
-            .record_peer_read(now, update.reader.rank(), update.age);
-        if previous_role == Role::Reader && state.read_schedule.role() == Role::Follower {
-            log::info!("event=leaves_reading_to reader={reader}");
+        let revision = state.catalog.revision();
+        let era = update.versions.revision.era;
+        // A read of an earlier era tells nothing of what the store holds now.
+        if era >= revision.era {
+            state.last_read = Some((update.reader.clone(), now - update.age));
+            let previous_role = state.read_schedule.role();
+            state
+                .read_schedule
+                .record_peer_read(now, update.reader.rank(), update.age);
+            if previous_role == Role::Reader && state.read_schedule.role() == Role::Follower {
+                log::info!("event=leaves_reading_to reader={reader}");
+            }
         }
         let mut new = Vec::new();
-        let revision = state.catalog.revision();
-        let is_contiguous = revision > 0 && update.base <= revision;
+        let is_contiguous = !revision.is_empty() && era == revision.era && update.base <= revision;
         if is_contiguous {
             for revisioned in &update.changes {
                 if state.catalog.apply(now, revisioned.clone()) {
@@ -227,18 +231,23 @@
     }
 
     fn start_pull(self: &Arc<Self>, wanted: Versions) {
+        {
+            let mut state = self.lock();
+            state.wanted = state.wanted.max(wanted);
+        }
         if !self.pulling.swap(true, Ordering::AcqRel) {
-            tokio::spawn(Arc::clone(self).pull(wanted));
+            tokio::spawn(Arc::clone(self).pull());
         }
     }
 
-    /// Pulls from peers until this daemon has the versions `wanted`.
+    /// Pulls from peers until this daemon has the versions that it wants, also those that it hears
+    /// of meanwhile.
     ///
     /// Each daemon that has pulled the update notifies a few near peers, which then pull from it,
     /// so that the number of daemons with the update doubles in each round. While no such peer is
     /// known, near peers are tried with growing delays: many pulls at once would keep a small VM
     /// from serving any of them.
-    async fn pull(self: Arc<Self>, wanted: Versions) {
+    async fn pull(self: Arc<Self>) {
         let mut delay = FIRST_PULL_DELAY;
         for i in 1..=MAX_PULL_ATTEMPTS {
             if self.lock().newer_peer.is_none() {
@@ -271,11 +280,14 @@
             if reached != have {
                 self.announce_versions();
             }
-            if reached.revision >= wanted.revision && reached.version >= wanted.version {
+            // Under the lock, so that a later wish starts a pull of its own.
+            let mut state = self.lock();
+            if reached.covers(&state.wanted) || i == MAX_PULL_ATTEMPTS {
+                state.wanted = reached;
+                self.pulling.store(false, Ordering::Release);
                 break;
             }
         }
-        self.pulling.store(false, Ordering::Release);
     }
 
     /// Notifies a few near peers of the versions that this daemon has now.
@@ -420,7 +432,7 @@
 fn split_update(
     reader: &Daemon,
     versions: Versions,
-    base: u64,
+    base: Revision,
     changes: &[RevisionedChange],
 ) -> Vec<StoreUpdate> {
     let without_changes = versions_only(reader.clone(), Duration::ZERO, versions);
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -60,7 +60,9 @@
     pub in_flight: Gauge,
     /// Version of the active configuration.
     pub version: Gauge<u64, AtomicU64>,
-    /// Revision of the registry.
+    /// Era of the store.
+    pub era: Gauge<u64, AtomicU64>,
+    /// Revision of the registry in that era.
     pub revision: Gauge<u64, AtomicU64>,
     /// Daemons heard recently, this one included.
     pub daemons: Gauge,
@@ -101,6 +103,11 @@
             gauges.in_flight.clone(),
         );
         r.register("config_version", "Version in force", gauges.version.clone());
+        r.register(
+            "registry_era",
+            "Times that the store came back from an older copy, plus its first era",
+            gauges.era.clone(),
+        );
         r.register(
             "registry_revision",
             "Revision of the registry",
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -14,6 +14,8 @@
 mod program;
 #[path = "edge/responses.rs"]
 mod responses;
+#[path = "edge/restore.rs"]
+mod restore;
 #[path = "edge/stop.rs"]
 mod stop;
 #[path = "edge/sync.rs"]
--- a/cuminspreadd/tests/edge/fixture.rs
+++ b/cuminspreadd/tests/edge/fixture.rs
@@ -82,6 +82,20 @@
     }
 }
 
+/// Starts daemons one after the other, each with the first as its seed.
+pub async fn start_fleet(fixture: &Fixture, count: usize) -> Vec<EdgeDaemon> {
+    let first = fixture.start_daemon().await;
+    let seed: SocketAddr = first.peer();
+    let mut daemons = vec![first];
+    for _ in 1..count {
+        let (settings, edge_settings) = fixture.settings(&[seed]);
+        let daemon = EdgeDaemon::start(settings, edge_settings).await.unwrap();
+        fixture.wait_ready(&daemon).await;
+        daemons.push(daemon);
+    }
+    daemons
+}
+
 /// Whether a daemon answers the platform's readiness check with 200.
 pub async fn is_ready(daemon: &EdgeDaemon) -> bool {
     let path = cuminspread_platform::headers::READY_PATH;
--- a/cuminspreadd/tests/edge/sync.rs
+++ b/cuminspreadd/tests/edge/sync.rs
@@ -9,7 +9,9 @@
 use cuminspreadd::edge::run::EdgeDaemon;
 use serde_json::json;
 
-use crate::fixture::{Fixture, STATUS_SERVICE, UPDATE_BOUND, is_ready, send, wait_for};
+use crate::fixture::{
+    Fixture, STATUS_SERVICE, UPDATE_BOUND, is_ready, send, start_fleet, wait_for,
+};
 
 async fn status(daemon: &EdgeDaemon, target: &str) -> u16 {
     let req = ClientRequest {
@@ -27,20 +29,6 @@
     }
 }
 
-/// Starts daemons one after the other, each with the first as its seed.
-async fn start_fleet(fixture: &Fixture, count: usize) -> Vec<EdgeDaemon> {
-    let first = fixture.start_daemon().await;
-    let seed: SocketAddr = first.peer();
-    let mut daemons = vec![first];
-    for _ in 1..count {
-        let (settings, edge_settings) = fixture.settings(&[seed]);
-        let daemon = EdgeDaemon::start(settings, edge_settings).await.unwrap();
-        fixture.wait_ready(&daemon).await;
-        daemons.push(daemon);
-    }
-    daemons
-}
-
 #[tokio::test]
 async fn a_daemon_without_a_configuration_refuses_and_is_not_ready() {
     let fixture = Fixture::without_config(1).await;
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminspread::coordination::catalog::{Change, RevisionedChange, ServerEntry};
+use cuminspread::coordination::catalog::{Change, Revision, RevisionedChange, ServerEntry};
 use cuminspread::protocol::envelope::{Envelope, EnvelopeHeader};
 use cuminspread::protocol::gossip::{
-    CrashReport, Daemon, GossipMessage, KnownPeer, PullResponse, RegistryUpdate, RoutingUpdate,
-    StoreUpdate, Versions,
+    self, CrashReport, Daemon, GossipMessage, KnownPeer, PullResponse, RegistryUpdate,
+    RoutingUpdate, StoreUpdate, Versions,
 };
 use cuminspread::protocol::member::{ListMark, Liveness, MemberMessage, MemberUpdate};
 use cuminspread::protocol::message::Message;
@@ -103,13 +103,14 @@
         started_ms: 3,
         sequence: 4,
     };
+    let revision = |number| Revision { era: 1, number };
     let changes = vec![
         RevisionedChange {
-            revision: 7,
+            revision: revision(7),
             change: Change::Reported(entry.clone()),
         },
         RevisionedChange {
-            revision: 8,
+            revision: revision(8),
             change: Change::Removed {
                 id: "i-2".into(),
                 lapsed: true,
@@ -127,10 +128,10 @@
         reader: daemon.clone(),
         age: Duration::from_millis(40),
         versions: Versions {
-            revision: 8,
+            revision: revision(8),
             version: 3,
         },
-        base: 6,
+        base: revision(6),
         changes: changes.clone(),
         routing: Some(delta.clone()),
         can_serve: true,
@@ -154,7 +155,7 @@
     let response = |routing, registry| PullResponse {
         routing: Some(routing),
         registry: Some(registry),
-        revision: 8,
+        revision: revision(8),
         busy: false,
         peers: vec![peer.clone()],
     };
@@ -162,7 +163,7 @@
     let responses = [
         (
             "copy",
-            response(full, RegistryUpdate::Snapshot(vec![(7, entry)])),
+            response(full, RegistryUpdate::Snapshot(vec![(revision(7), entry)])),
         ),
         (
             "changes",
@@ -172,8 +173,8 @@
             ),
         ),
     ];
-    let messages = messages.map(|(name, m)| file(Target::Gossip, name, &m));
-    let responses = responses.map(|(name, r)| file(Target::PullResponse, name, &r));
+    let messages = messages.map(|(name, m)| message(Target::Gossip, name, &m));
+    let responses = responses.map(|(name, r)| message(Target::PullResponse, name, &r));
     let mut files: Vec<SeedFile> = messages.into_iter().chain(responses).collect();
     files.push(SeedFile {
         target: Target::Routing,
@@ -183,6 +184,12 @@
     files
 }
 
+fn message(target: Target, name: &'static str, message: &impl gossip::Message) -> SeedFile {
+    // All messages passed here can be encoded.
+    let data = gossip::encode(message).unwrap_or_default();
+    SeedFile { target, name, data }
+}
+
 fn file<T: Serialize>(target: Target, name: &'static str, value: &T) -> SeedFile {
     // All values passed here can be encoded.
     let data = postcard::to_stdvec(value).unwrap_or_default();
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminspread::coordination::catalog::{Catalog, Change, RevisionedChange};
+use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
 use cuminspread::coordination::crash::{Crash, CrashDetector, CrashSettings};
 use cuminspread::coordination::mesh::{Mesh, MeshSettings};
 use cuminspread::coordination::placement::{PlacementContext, PlacementSettings, ServerState};
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::protocol::envelope::{Envelope, EnvelopeError, FORMAT_VERSION, Sealer};
 use cuminspread::protocol::gossip::{
-    Daemon, GossipMessage, PullResponse, RegistryUpdate, RoutingUpdate,
+    self, Daemon, GossipMessage, PullResponse, RegistryUpdate, RoutingUpdate,
 };
 use cuminspread::protocol::header::{format_load, parse_load};
 use cuminspread::recording::{Compare, replay};
@@ -93,7 +93,7 @@
             Self::Envelope => envelope(data),
             Self::Header => header(data),
             Self::Recording => recording(data),
-            Self::Gossip => gossip(data),
+            Self::Gossip => gossip_message(data),
             Self::PullResponse => pull_response(data),
             Self::ServerEntry => server_entry(data),
             Self::Routing => routing(data),
@@ -174,8 +174,8 @@
 
 /// The state machines that a daemon passes a message to neither panic nor keep more peers or
 /// servers than the message has.
-fn gossip(data: &[u8]) {
-    let Ok(message) = postcard::from_bytes::<GossipMessage>(data) else {
+fn gossip_message(data: &[u8]) {
+    let Ok(message) = gossip::decode::<GossipMessage>(data) else {
         return;
     };
     let mut mesh = mesh();
@@ -263,7 +263,7 @@
 
 /// A snapshot or list of changes adds no more servers than it has.
 fn pull_response(data: &[u8]) {
-    let Ok(response) = postcard::from_bytes::<PullResponse>(data) else {
+    let Ok(response) = gossip::decode::<PullResponse>(data) else {
         return;
     };
     let mut catalog = Catalog::default();
@@ -295,7 +295,7 @@
     check_score(&server);
     let mut catalog = Catalog::default();
     let change = RevisionedChange {
-        revision: 5,
+        revision: Revision { era: 1, number: 5 },
         change: Change::Reported(entry.clone()),
     };
     assert!(catalog.apply(NOW, change));
