fault-soak: a drill in which the store comes back from a copy

--only store-restore replaces all servers and adds a route, then brings the store back from a copy from before that; writers write again what the copy lacks within 2 s, and entries of servers that have left run out after 4.5 s.

The reader took the end of a held entry as no change, so its peers never heard of it and brought the server back when the hold was over.

--- a/bench/src/fault_soak.rs
+++ b/bench/src/fault_soak.rs
@@ -14,18 +14,23 @@
 //! - after the last fault and a recovery time, nearly all requests are served;
 //! - a server that then announces that it leaves gets no request sent after the drain time-out.
 //!
+//! `--only store-restore` plays a drill instead: the store comes back from older copies.
+//!
 //! No fault changes clocks: daemons measure time with the monotonic clock and use the wall clock
 //! only to name their start.
 
 pub mod client;
 pub mod fleet;
 pub mod proxy;
+mod store_restore;
 
 use std::collections::HashMap;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use cuminspread_platform::standin::server::Behaviour;
 use cuminspread_platform::standin::store::Mode;
 use rand::RngExt as _;
@@ -67,11 +72,22 @@
     ),
 ];
 
+/// Which faults are injected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Faults {
+    /// All but those of the other variants, in random order.
+    Any,
+    /// The store comes back from older copies.
+    StoreRestore,
+}
+
 /// Settings of a run.
 #[derive(Debug, Clone)]
 pub struct SoakSettings {
-    /// Path of the daemons' program.
-    pub program: PathBuf,
+    /// Paths of the daemons' programs; the daemons run them in turn.
+    pub programs: Vec<PathBuf>,
+    /// Faults that are injected.
+    pub faults: Faults,
     /// Seed of the faults and of the clients' requests.
     pub seed: u64,
     /// Time in which faults are injected.
@@ -105,8 +121,16 @@
             Arg::new("program")
                 .long("program")
                 .value_name("FILE")
+                .action(ArgAction::Append)
                 .default_value("target/release/cuminspreadd")
-                .help("Program of the daemons"),
+                .help("Program of the daemons; several are used in turn"),
+        )
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_name("FAULT")
+                .value_parser(["store-restore"])
+                .help("Inject only this fault"),
         )
         .arg(number_arg("seed", "1", "First seed"))
         .arg(number_arg("seeds", "1", "Seeds, one run each"))
@@ -124,7 +148,12 @@
 /// Fails if the deployment can't be started or an invariant is violated.
 pub fn run(args: &ArgMatches) -> anyhow::Result<()> {
     let number = |name| args.get_one(name).copied().unwrap_or(1u64);
-    let program: Option<&String> = args.get_one("program");
+    let programs = args.get_many::<String>("program").into_iter().flatten();
+    let programs: Vec<PathBuf> = programs.map(PathBuf::from).collect();
+    let faults = match args.get_one::<String>("only") {
+        Some(_) => Faults::StoreRestore,
+        None => Faults::Any,
+    };
     let mut violations = 0;
     let seeds = number("seed")..number("seed") + number("seeds");
     let seeds: Vec<u64> = if args.get_flag("failed") {
@@ -134,7 +163,8 @@
     };
     for seed in seeds {
         let settings = SoakSettings {
-            program: PathBuf::from(program.map_or("", String::as_str)),
+            programs: programs.clone(),
+            faults,
             seed,
             duration: Duration::from_secs(number("seconds")),
             daemons: number("daemons") as usize,
@@ -169,20 +199,29 @@
     let start = Instant::now();
     let calm_from = start + settings.duration + RECOVERY_TIME;
     let end = calm_from + CALM_TIME;
+    let added_routes = Arc::new(AtomicUsize::new(0));
     let clients: Vec<_> = (0..settings.clients)
         .map(|i| {
             let daemons = fleet.daemon_addresses();
-            let client = Client::new(daemons, settings.seed, i);
+            let client = Client::new(daemons, settings.seed, i, Arc::clone(&added_routes));
             tokio::spawn(client.run(end, THINK_TIME))
         })
         .collect();
     let mut faults = 0;
     while start.elapsed() < settings.duration {
-        inject(&mut fleet, &mut rng).await?;
+        match settings.faults {
+            Faults::Any => {
+                inject(&mut fleet, &mut rng).await?;
+                let interval_ms = rng.random_range(20..MAX_FAULT_INTERVAL_MS);
+                sleep(Duration::from_millis(interval_ms)).await;
+                fleet.update()?;
+            }
+            Faults::StoreRestore => {
+                let left = settings.duration.saturating_sub(start.elapsed());
+                store_restore::round(&mut fleet, &mut rng, &added_routes, left).await?;
+            }
+        }
         faults += 1;
-        let interval_ms = rng.random_range(20..MAX_FAULT_INTERVAL_MS);
-        sleep(Duration::from_millis(interval_ms)).await;
-        fleet.update()?;
     }
     fleet.end_faults();
     update_until(&mut fleet, calm_from).await?;
@@ -209,6 +248,11 @@
             format!("drain: {id} was sent {after:?} after its server announced that it leaves");
         verdict.violations.push(violation);
     }
+    if settings.faults == Faults::StoreRestore {
+        verdict
+            .violations
+            .extend(store_restore::check(&fleet, &requests));
+    }
     let calm: Vec<&SentRequest> = requests.iter().filter(|r| r.at >= calm_from).collect();
     let served = calm.iter().filter(|r| r.outcome == Outcome::Served).count();
     if (served as f64) < MIN_SERVED_FRACTION * calm.len() as f64 {
--- a/bench/src/fault_soak/client.rs
+++ b/bench/src/fault_soak/client.rs
@@ -1,6 +1,8 @@
 //! Clients that send requests over persistent connections and record the outcomes.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use cuminspread_platform::standin::client::ClientRequest;
@@ -16,6 +18,17 @@
 pub const READ_PREFIX: &str = "/read/";
 /// Path prefix of the route for requests that aren't idempotent.
 pub const ORDER_PREFIX: &str = "/order/";
+/// Names and path prefixes of routes that configurations add one after the other.
+pub const ADDED_ROUTES: [(&str, &str); 8] = [
+    ("added-1", "/added-1/"),
+    ("added-2", "/added-2/"),
+    ("added-3", "/added-3/"),
+    ("added-4", "/added-4/"),
+    ("added-5", "/added-5/"),
+    ("added-6", "/added-6/"),
+    ("added-7", "/added-7/"),
+    ("added-8", "/added-8/"),
+];
 /// Time-out for a response; also the deadline in the request.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time-out for a new connection.
@@ -72,17 +85,25 @@
     daemons: Vec<SocketAddr>,
     rng: Pcg32,
     number: usize,
+    /// How many of [`ADDED_ROUTES`] all daemons must have; the last of them is used for reads, too.
+    added_routes: Arc<AtomicUsize>,
     /// Connection that can be used again.
     connection: Option<TcpStream>,
 }
 
 impl Client {
     /// Client that sends each new connection to one of these daemons, chosen at random.
-    pub fn new(daemons: Vec<SocketAddr>, seed: u64, number: usize) -> Self {
+    pub fn new(
+        daemons: Vec<SocketAddr>,
+        seed: u64,
+        number: usize,
+        added_routes: Arc<AtomicUsize>,
+    ) -> Self {
         Self {
             daemons,
             rng: Pcg32::new(seed, 100 + number as u64),
             number,
+            added_routes,
             connection: None,
         }
     }
@@ -94,10 +115,11 @@
         while Instant::now() < end {
             let n = requests.len();
             let idempotent = self.rng.random_range(0..2) == 0;
-            let prefix = if idempotent {
-                READ_PREFIX
-            } else {
-                ORDER_PREFIX
+            let added = self.added_routes.load(Ordering::Relaxed);
+            let prefix = match (idempotent, added.checked_sub(1)) {
+                (true, Some(last)) if n.is_multiple_of(2) => ADDED_ROUTES[last].1,
+                (true, _) => READ_PREFIX,
+                (false, _) => ORDER_PREFIX,
             };
             let body = if idempotent {
                 String::new()
--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -1,5 +1,6 @@
 //! Deployment under test: daemon processes, and a store and servers behind proxies.
 
+use std::collections::HashMap;
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -20,6 +21,8 @@
 const SERVICE: &str = "status";
 /// Time from SIGTERM to SIGKILL; also the daemons' setting `grace_s`.
 const STOP_GRACE: Duration = Duration::from_secs(6);
+/// Time for which the store keeps an entry that is no longer written: three heartbeats.
+pub const ENTRY_TTL: Duration = Duration::from_millis(4500);
 /// Low 16 bits of the first daemon's peer address in 127.0.0.0/16.
 const FIRST_PEER_HOST: u16 = 10;
 /// Idle time-out of clients' connections in the configuration, in seconds.
@@ -54,6 +57,7 @@
 
 #[derive(Debug)]
 struct Daemon {
+    program: PathBuf,
     settings: PathBuf,
     front: SocketAddr,
     child: Child,
@@ -71,10 +75,18 @@
     fault_until: Option<Instant>,
 }
 
+/// A server that has left the registry and still serves what it gets.
+#[derive(Debug)]
+struct LeftServer {
+    server: Server,
+    left_at: Instant,
+}
+
 /// A deployment under test.
 #[derive(Debug)]
 pub struct Fleet {
-    program: PathBuf,
+    /// Programs that the daemons run, in turn.
+    programs: Vec<PathBuf>,
     store: StandInStore,
     store_proxy: Proxy,
     store_fault_until: Option<Instant>,
@@ -82,6 +94,20 @@
     daemons: Vec<Daemon>,
     /// Servers that were replaced; what they executed still counts.
     replaced: Vec<StandInServer>,
+    /// Servers that left without being stopped.
+    left: Vec<LeftServer>,
+    /// When the store comes back from its copy; `None` unless it is away for that.
+    restore_at: Option<Instant>,
+    /// When the store came back from a copy.
+    restored_at: Vec<Instant>,
+    /// When writers write again what the copy lacks.
+    rewrite_at: Option<Instant>,
+    /// When the store drops what the copy holds of servers that have left.
+    expire_at: Option<Instant>,
+    /// Number of the last report of any server.
+    reports: u64,
+    /// Routes of the published configuration besides the ones that clients always use.
+    extra_routes: Vec<RouteRow>,
     /// Servers that were ever started; gives the next server's id.
     started: u64,
     /// Version of the published configuration.
@@ -98,13 +124,20 @@
         let store = StandInStore::start().await;
         let store_proxy = Proxy::start(store.address()).await?;
         let mut fleet = Self {
-            program: settings.program.clone(),
+            programs: settings.programs.clone(),
             store,
             store_proxy,
             store_fault_until: None,
             servers: Vec::new(),
             daemons: Vec::new(),
             replaced: Vec::new(),
+            left: Vec::new(),
+            restore_at: None,
+            restored_at: Vec::new(),
+            rewrite_at: None,
+            expire_at: None,
+            reports: 1,
+            extra_routes: Vec::new(),
             started: 0,
             version: 1,
         };
@@ -135,8 +168,10 @@
             let name = format!("fault-soak-{}-{i}.ini", std::process::id());
             let path = std::env::temp_dir().join(name);
             fs::write(&path, text).with_context(|| format!("writing {}", path.display()))?;
-            let child = start_daemon(&fleet.program, &path)?;
+            let program = fleet.programs[i % fleet.programs.len()].clone();
+            let child = start_daemon(&program, &path)?;
             fleet.daemons.push(Daemon {
+                program,
                 settings: path,
                 front,
                 child,
@@ -165,7 +200,8 @@
 
     /// Requests that servers executed, replaced servers included.
     pub fn executed(&self) -> Vec<ExecutedRequest> {
-        let current = self.servers.iter().map(|s| &s.stand_in);
+        let left = self.left.iter().map(|l| &l.server);
+        let current = self.servers.iter().chain(left).map(|s| &s.stand_in);
         let all = current.chain(&self.replaced);
         all.flat_map(StandInServer::executed).collect()
     }
@@ -218,31 +254,37 @@
     pub fn publish_config(&mut self, variant: usize) {
         const EXTRA_ROUTES: [(&str, &str); 4] =
             [("a", "/a/"), ("b", "/b/"), ("c", "/c/"), ("d", "/d/")];
-        let route = |name, prefix, idempotent| RouteRow {
-            name,
-            prefix,
-            idempotent,
-            services: vec![(SERVICE, 1)],
-            timeout_s: 1.2,
-            latency_target_s: 0.3,
-            max_attempts: MAX_ATTEMPTS as u8,
-        };
+        let extra = EXTRA_ROUTES.iter().take(variant % (EXTRA_ROUTES.len() + 1));
+        self.extra_routes = extra
+            .map(|(name, prefix)| route(name, prefix, true))
+            .collect();
+        self.version += 1 + variant as u64 % 3;
+        self.write_config();
+    }
+
+    /// Publishes the next configuration, with one route more than the one before.
+    pub fn publish_added_route(&mut self, name: &'static str, prefix: &'static str) {
+        self.extra_routes.push(route(name, prefix, true));
+        self.version += 1;
+        self.write_config();
+    }
+
+    fn write_config(&self) {
         let mut routes = vec![
             route("reads", READ_PREFIX, true),
             route("orders", ORDER_PREFIX, false),
         ];
-        let extra = EXTRA_ROUTES.iter().take(variant % (EXTRA_ROUTES.len() + 1));
-        routes.extend(extra.map(|(name, prefix)| route(name, prefix, true)));
-        self.version += 1 + variant as u64 % 3;
+        routes.extend(self.extra_routes.iter().cloned());
         let text = config_text(self.version, &routes, IDLE_TIMEOUT_S);
         self.store.put_config(text);
     }
 
     /// Announces in the store that a server leaves; the server still serves what it gets.
     pub fn drain(&mut self, server: usize) {
+        self.reports += 1;
         let server = &self.servers[server];
         let (id, address) = (server.stand_in.id(), server.proxy.address());
-        self.store.drain_server(id, SERVICE, address);
+        self.store.drain_server(id, SERVICE, address, self.reports);
     }
 
     /// Whether a server executed a request.
@@ -262,6 +304,80 @@
         self.replaced.push(old.stand_in);
     }
 
+    /// Starts a replacement of a server, which leaves the registry unannounced and goes on serving.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the replacement can't be started.
+    pub async fn leave_server(&mut self, server: usize) -> anyhow::Result<()> {
+        let new = self.start_server().await?;
+        let server = std::mem::replace(&mut self.servers[server], new);
+        self.store.delete_server(server.stand_in.id());
+        self.left.push(LeftServer {
+            server,
+            left_at: Instant::now(),
+        });
+        Ok(())
+    }
+
+    /// Makes the copy that [`Fleet::restore_store`] brings back.
+    pub fn copy_store(&self) {
+        self.store.save_copy();
+    }
+
+    /// Takes the store away, from which it comes back with its copy; its writers write again what
+    /// the copy lacks some time later.
+    pub fn restore_store(&mut self, away: Duration, rewrite_delay: Duration) {
+        self.store.set_mode(Mode::Silent);
+        let back_at = Instant::now() + away;
+        self.restore_at = Some(back_at);
+        self.rewrite_at = Some(back_at + rewrite_delay);
+        self.expire_at = Some(back_at + ENTRY_TTL);
+    }
+
+    /// Times at which the store came back from a copy.
+    pub fn restored_at(&self) -> &[Instant] {
+        &self.restored_at
+    }
+
+    /// Ids of the requests that servers that have left executed, and when these servers left.
+    pub fn executed_by_left_servers(&self) -> HashMap<String, Instant> {
+        let executed = |l: &LeftServer| {
+            let left_at = l.left_at;
+            let executed = l.server.stand_in.executed().into_iter();
+            executed.map(move |r| (r.id, left_at))
+        };
+        self.left.iter().flat_map(executed).collect()
+    }
+
+    /// Restores the store and writes or drops its entries, as far as that is due.
+    fn update_store(&mut self, now: Instant) {
+        let is_over = |until: &mut Option<Instant>| until.take_if(|t| now >= *t).is_some();
+        if is_over(&mut self.restore_at) {
+            self.store.restore();
+            self.store.set_mode(Mode::Up);
+            self.restored_at.push(now);
+        }
+        if is_over(&mut self.rewrite_at) {
+            self.write_config();
+            self.reports += 1;
+            for server in &self.servers {
+                let (id, address) = (server.stand_in.id(), server.proxy.address());
+                if !self.store.has_server(id) {
+                    self.store.put_report(id, SERVICE, address, self.reports);
+                }
+            }
+        }
+        if is_over(&mut self.expire_at) {
+            for left in &self.left {
+                let id = left.server.stand_in.id();
+                if self.store.has_server(id) {
+                    self.store.delete_server(id);
+                }
+            }
+        }
+    }
+
     /// Ends faults whose time is over and restarts daemons that have ended.
     ///
     /// # Errors
@@ -269,6 +385,7 @@
     /// Fails if a daemon can't be started.
     pub fn update(&mut self) -> anyhow::Result<()> {
         let now = Instant::now();
+        self.update_store(now);
         let is_over = |until: &mut Option<Instant>| until.take_if(|t| now >= *t).is_some();
         for server in &mut self.servers {
             if is_over(&mut server.fault_until) {
@@ -286,7 +403,7 @@
                 send_signal(&daemon.child, Signal::Kill);
             }
             if daemon.child.try_wait()?.is_some() {
-                daemon.child = start_daemon(&self.program, &daemon.settings)?;
+                daemon.child = start_daemon(&daemon.program, &daemon.settings)?;
                 (daemon.paused_until, daemon.kill_at) = (None, None);
             }
         }
@@ -335,6 +452,18 @@
     }
 }
 
+fn route(name: &'static str, prefix: &'static str, idempotent: bool) -> RouteRow {
+    RouteRow {
+        name,
+        prefix,
+        idempotent,
+        services: vec![(SERVICE, 1)],
+        timeout_s: 1.2,
+        latency_target_s: 0.3,
+        max_attempts: MAX_ATTEMPTS as u8,
+    }
+}
+
 fn start_daemon(program: &PathBuf, settings: &PathBuf) -> anyhow::Result<Child> {
     Command::new(program)
         .arg("--settings")
--- a/cuminspread/src/coordination/catalog.rs
+++ b/cuminspread/src/coordination/catalog.rs
@@ -156,7 +156,7 @@
 }
 
 /// Local copy of the registry.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Catalog {
     servers: BTreeMap<Name, Record>,
     revision: Revision,
@@ -396,11 +396,11 @@
         if revision < record.revision {
             return false;
         }
-        if let Presence::Removed { listed_since, .. } = &mut record.presence {
-            *listed_since = None;
-        }
-        if !matches!(record.presence, Presence::Present) {
-            return false;
+        match &mut record.presence {
+            Presence::Present => {}
+            Presence::Lapsed { .. } => return false,
+            // Peers that hold the entry need to know, too.
+            Presence::Removed { listed_since, .. } => return listed_since.take().is_some(),
         }
         record.revision = revision;
         record.presence = if lapsed && !record.entry.draining {
--- a/cuminspread/tests/catalog.rs
+++ b/cuminspread/tests/catalog.rs
@@ -477,6 +477,12 @@
     }
     let since = catalog.changes_since(second_era(12));
     assert_eq!(since.map(|c| c.len()), Some(0));
+    // The end of the listing is a change that peers get, too.
+    let again = RevisionedChange {
+        revision: second_era(13),
+        ..removed(13, false)
+    };
+    assert!(catalog.clone().apply(at(150), again));
     // A peer without a record of the removal must not use the server.
     let mut peer = Catalog::default();
     peer.reconcile(at(200), second_era(12), catalog.snapshot(), false);
--- a/cuminspreadd/tests/edge/restore.rs
+++ b/cuminspreadd/tests/edge/restore.rs
@@ -181,7 +181,7 @@
     drill
         .fixture
         .store
-        .drain_server(leaving.id(), STATUS_SERVICE, address);
+        .drain_server(leaving.id(), STATUS_SERVICE, address, 2);
     sleep(UPDATE_BOUND).await;
     let runs = leaving.executed().len();
     assert_eq!(drill.failures("/status/1", SETTLE_TIME / 2).await, 0);
