reader: hundreds of daemons don't read the store at the same time

Cause: a takeover read takes 20 to 300 ms, and all followers that hear of no result in that time read, too.

Ruled out: several readers that don't hear of each other (the log shows one at a time between these moments).

Change: a follower tells its peers when it begins a read and when a read fails. The others wait once for the result, 0.3 s; without one, they try at a rate of 50 a second over the whole fleet, and at 10 a second once six daemons have failed. A daemon that hears nothing reads after 1.3 to 1.7 s as before. The message is a variant that daemons of format 1 drop.

--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -4,17 +4,21 @@
 //! reader, therefore reads at a fixed interval and sends what is new to its peers; the other
 //! daemons are followers. A follower that hears of no successful read for
 //! [`ReaderSettings::takeover_after`] reads itself, after a random delay so that usually only one
-//! daemon starts. Of two readers, the one with the higher rank number stops when it hears of the
+//! daemon starts. A follower tells its peers when it begins such a read, and when that fails: the
+//! others wait for the first result instead of reading at the same time, and once several reads of
+//! different daemons have failed, they count the store as down and share the attempts. Of two readers, the one with the higher rank number stops when it hears of the
 //! other's read. The daemons need no consensus: too many readers only cost money, and without a
 //! reader updates are late by at most the time to a takeover.
 //!
 //! Load pattern: the reader is killed, partitioned or refused by the store right after a server
-//! began to leave; another daemon must read the change within the platform's time limit.
+//! began to leave; another daemon must read the change within the platform's time limit. Or the
+//! store is away for seconds, and hundreds of daemons miss its answers at the same time.
 
 use std::time::Duration;
 
 use rand::RngExt as _;
 use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
 
 use crate::state::time::Mono;
 
@@ -39,6 +43,12 @@
     /// times the number of daemons, so that the whole fleet makes about one read in this time
     /// during an outage. The bound is at least `max_retry_delay`.
     pub follower_max_retry_delay: Duration,
+    /// Time for which followers wait for the result of a read that another daemon has begun;
+    /// enough for a snapshot of some hundred servers on a small VM.
+    pub attempt_hold: Duration,
+    /// Other daemons whose reads have failed, without any that succeeded, from which on the store counts as
+    /// down; if it refuses just half of the daemons, so many fail in a row once in 64 times.
+    pub failures_for_outage: usize,
     /// Timeout of a read; it doubles with each failure in a row.
     pub timeout: Duration,
     /// Longest timeout of a read.
@@ -57,6 +67,8 @@
             max_retry_delay: Duration::from_millis(1600),
             follower_retry_delay: Duration::from_millis(20),
             follower_max_retry_delay: Duration::from_millis(100),
+            attempt_hold: Duration::from_millis(300),
+            failures_for_outage: 6,
             timeout: Duration::from_millis(400),
             max_timeout: Duration::from_millis(1600),
             outage_after: Duration::from_millis(2500),
@@ -90,6 +102,28 @@
     daemons: u32,
     /// A daemon of lower rank read the store while this one was reading.
     superseded: bool,
+    patience: Patience,
+    /// Rank numbers of other daemons whose reads have failed since the last success, up to the
+    /// number that counts as an outage.
+    failed_peers: Vec<u64>,
+}
+
+/// Whether a follower waits for the result of another daemon's read; once after each success.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Patience {
+    Unused,
+    Holding { until: Mono },
+    Spent,
+}
+
+/// State of a read that another daemon makes to take over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum ReadAttempt {
+    /// The read has begun.
+    Begun,
+    /// The read has failed.
+    Failed,
 }
 
 impl ReadSchedule {
@@ -106,6 +140,8 @@
             reading: false,
             daemons: 1,
             superseded: false,
+            patience: Patience::Unused,
+            failed_peers: Vec::new(),
         }
     }
 
@@ -155,6 +191,7 @@
     pub fn succeeded(&mut self, now: Mono) {
         self.reading = false;
         self.failures = 0;
+        self.record_success();
         self.last_read = Some(now);
         if self.superseded {
             self.role = Role::Follower;
@@ -214,11 +251,59 @@
         }
         self.role = Role::Follower;
         self.failures = 0;
+        self.record_success();
         self.superseded |= rank < self.rank;
         let next = read + self.settings.takeover_after + self.takeover_delay();
         self.next_read = self.next_read.max(next);
     }
 
+    /// Records a read of another daemon that has not succeeded, or not yet.
+    ///
+    /// A follower waits once for the result of such a read. If there is none in time or a read
+    /// fails, the followers try one after the other, so that a store that refuses some daemons is
+    /// soon read by another one; after enough failures, at the slower pace of an outage.
+    pub fn record_peer_attempt(&mut self, now: Mono, rank: u64, attempt: ReadAttempt) {
+        if self.role != Role::Follower || rank == self.rank {
+            return;
+        }
+        let settings = &self.settings;
+        let in_turn = settings.follower_retry_delay * self.daemons;
+        let in_outage = settings.follower_max_retry_delay * self.daemons;
+        let hold = settings.attempt_hold;
+        match (attempt, self.patience) {
+            (ReadAttempt::Begun, Patience::Unused) => {
+                self.patience = Patience::Holding { until: now + hold };
+                let next = now + hold + self.takeover_delay();
+                self.next_read = self.next_read.max(next);
+            }
+            (ReadAttempt::Begun, Patience::Holding { until }) if now >= until => {
+                self.patience = Patience::Spent;
+                self.next_read = self.next_read.max(now + self.jitter(in_turn));
+            }
+            (ReadAttempt::Begun, _) => {}
+            (ReadAttempt::Failed, patience) => {
+                self.patience = Patience::Spent;
+                // Relays of the message repeat it.
+                if self.failed_peers.contains(&rank)
+                    || self.failed_peers.len() >= settings.failures_for_outage
+                {
+                    return;
+                }
+                self.failed_peers.push(rank);
+                if self.failed_peers.len() == settings.failures_for_outage {
+                    self.next_read = self.next_read.max(now + self.jitter(in_outage));
+                } else if patience != Patience::Spent {
+                    self.next_read = now + self.jitter(in_turn);
+                }
+            }
+        }
+    }
+
+    fn record_success(&mut self) {
+        self.patience = Patience::Unused;
+        self.failed_peers.clear();
+    }
+
     /// Makes a read due now: after a pause of the process, when its data may be old, or when a read
     /// returned only a part of the changes.
     pub fn read_now(&mut self, now: Mono) {
--- a/cuminspread/src/protocol/gossip.rs
+++ b/cuminspread/src/protocol/gossip.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::catalog::{Revision, RevisionedChange, ServerEntry};
+use crate::coordination::reader::ReadAttempt;
 use crate::state::Name;
 use crate::state::routing::{Routing, RoutingDelta};
 
@@ -176,6 +177,18 @@
     pub relay: bool,
 }
 
+/// Report of a read of the store that has not succeeded, or not yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ReadAttemptReport {
+    /// Rank of the daemon that reads; see [`Daemon::rank`].
+    pub rank: u64,
+    /// State of the read.
+    pub attempt: ReadAttempt,
+    /// Whether the receiver forwards it to the peers of its data centre.
+    pub relay: bool,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -192,6 +205,8 @@
     Crash(CrashReport),
     /// Probes a second that the sender makes.
     ProbeRate(u32),
+    /// A daemon has begun a read of the store to take over, or failed to read it; since format 2.
+    ReadAttempt(ReadAttemptReport),
 }
 
 /// Asks a peer for all changes after the sender's versions.
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -15,8 +15,10 @@
 use anyhow::Context as _;
 use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
 use cuminspread::coordination::mesh::Mesh;
-use cuminspread::coordination::reader::{ReadSchedule, Role};
-use cuminspread::protocol::gossip::{CrashReport, Daemon, GossipMessage, PullResponse, Versions};
+use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
+use cuminspread::protocol::gossip::{
+    CrashReport, Daemon, GossipMessage, PullResponse, ReadAttemptReport, Versions,
+};
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip::{self, Gossip};
 use cuminspread_platform::store::{ReadError, ReadResult, Servers, StoreClient};
@@ -240,15 +242,40 @@
         GossipMessage::ProbeRate(self.edge.servers().probe_rate(now).round() as u32)
     }
 
-    /// Notifies peers that a request crashed a server; relays forward it in their data centres.
-    fn send_crash(&self, state: &mut SyncState, report: CrashReport) {
+    /// Sends a message to all near peers and to relays, which forward it in their data centres.
+    fn send_to_fleet(&self, state: &mut SyncState, message: impl Fn(bool) -> GossipMessage) {
         for (peers, relay) in [
             (state.mesh.near_peers(), false),
             (state.mesh.relays(), true),
         ] {
+            self.send_all(&peers, &message(relay));
+        }
+    }
+
+    /// Notifies peers of a read by this daemon that has not succeeded, or not yet.
+    fn send_read_attempt(&self, state: &mut SyncState, attempt: ReadAttempt) {
+        let rank = state.mesh.me().rank();
+        self.send_to_fleet(state, |relay| {
+            GossipMessage::ReadAttempt(ReadAttemptReport {
+                rank,
+                attempt,
+                relay,
+            })
+        });
+    }
+
+    fn handle_read_attempt(&self, report: ReadAttemptReport) {
+        let mut state = self.lock();
+        let now = self.edge.now();
+        state
+            .read_schedule
+            .record_peer_attempt(now, report.rank, report.attempt);
+        if report.relay {
+            let near = state.mesh.near_peers();
+            let relay = false;
             self.send_all(
-                &peers,
-                &GossipMessage::Crash(CrashReport { relay, ..report }),
+                &near,
+                &GossipMessage::ReadAttempt(ReadAttemptReport { relay, ..report }),
             );
         }
     }
@@ -276,7 +303,9 @@
         }
         let crashes = self.edge.crash_tracker().take_unsent(now);
         for report in crashes {
-            self.send_crash(&mut state, report);
+            self.send_to_fleet(&mut state, |relay| {
+                GossipMessage::Crash(CrashReport { relay, ..report })
+            });
         }
         let targets = state.mesh.hello_targets(now);
         if !targets.is_empty() {
@@ -290,6 +319,9 @@
         let daemons = state.mesh.size();
         state.read_schedule.set_daemons(daemons);
         if let Some(limit) = state.read_schedule.begin(now) {
+            if state.read_schedule.role() == Role::Follower {
+                self.send_read_attempt(&mut state, ReadAttempt::Begun);
+            }
             let after = state.catalog.revision();
             tokio::spawn(Arc::clone(self).read(after, limit));
         }
@@ -366,6 +398,7 @@
         let first_failure = state.read_schedule.failures() == 0;
         let age = state.read_schedule.age(now);
         state.read_schedule.failed(now);
+        self.send_read_attempt(&mut state, ReadAttempt::Failed);
         drop(state);
         self.edge.metrics.count_read("failed");
         if first_failure {
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use cuminspread::coordination::catalog::{Change, Revision, RevisionedChange, ServerEntry};
+use cuminspread::coordination::reader::ReadAttempt;
 use cuminspread::protocol::envelope::{Envelope, EnvelopeHeader};
 use cuminspread::protocol::gossip::{
-    self, CrashReport, Daemon, GossipMessage, KnownPeer, PullResponse, RegistryUpdate,
-    RoutingUpdate, StoreUpdate, Versions,
+    self, CrashReport, Daemon, GossipMessage, KnownPeer, PullResponse, ReadAttemptReport,
+    RegistryUpdate, RoutingUpdate, StoreUpdate, Versions,
 };
 use cuminspread::protocol::member::{ListMark, Liveness, MemberMessage, MemberUpdate};
 use cuminspread::protocol::message::Message;
@@ -17,7 +18,6 @@
 use cuminspread::state::time::Wall;
 use cuminspread_platform::config;
 use cuminspread_platform::standin::store::{RouteRow, config_text};
-use serde::Serialize;
 
 use crate::target::Target;
 
@@ -144,6 +144,11 @@
         age: Duration::from_millis(20),
         relay: false,
     };
+    let attempt = ReadAttemptReport {
+        rank: 5,
+        attempt: ReadAttempt::Failed,
+        relay: true,
+    };
     let messages = [
         ("hello", GossipMessage::Hello(daemon.clone())),
         ("peers", GossipMessage::Peers(vec![peer.clone()])),
@@ -151,6 +156,7 @@
         ("leaving", GossipMessage::Leaving(daemon)),
         ("crash", GossipMessage::Crash(crash)),
         ("questions", GossipMessage::ProbeRate(70)),
+        ("read-attempt", GossipMessage::ReadAttempt(attempt)),
     ];
     let response = |routing, registry| PullResponse {
         routing: Some(routing),
@@ -189,9 +195,3 @@
     let data = gossip::encode(message).unwrap_or_default();
     SeedFile { target, name, data }
 }
-
-fn file<T: Serialize>(target: Target, name: &'static str, value: &T) -> SeedFile {
-    // All values passed here can be encoded.
-    let data = postcard::to_stdvec(value).unwrap_or_default();
-    SeedFile { target, name, data }
-}
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -9,6 +9,7 @@
 use cuminspread::coordination::mesh::{Mesh, MeshSettings};
 use cuminspread::coordination::placement::{PlacementContext, PlacementSettings, ServerState};
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
+use cuminspread::coordination::reader::{ReadSchedule, ReaderSettings};
 use cuminspread::protocol::envelope::{Envelope, EnvelopeError, FORMAT_VERSION, Sealer};
 use cuminspread::protocol::gossip::{
     self, Daemon, GossipMessage, PullResponse, RegistryUpdate, RoutingUpdate,
@@ -206,6 +207,12 @@
             limiter.record_peer_rate(rate as f32, 10.0);
             assert!(limiter.take(NOW, 1_000, 10.0) <= 1_000);
         }
+        GossipMessage::ReadAttempt(report) => {
+            let settings = ReaderSettings::default();
+            let mut schedule = ReadSchedule::new(settings, 1, 1, Duration::ZERO);
+            schedule.record_peer_attempt(NOW, report.rank, report.attempt);
+            assert!(schedule.next_read().is_some());
+        }
         GossipMessage::Crash(report) => {
             let broke = NOW - report.age;
             let crash = Crash {
