--- a/cumin/tests/request.rs
+++ b/cumin/tests/request.rs
@@ -6,7 +6,7 @@
 const LOG: &str = "\
 time_ms=20 level=info event=placed id=a-1 server=i-2 slowness=1.00 report_age_us=300
 time_ms=10 level=info event=placed id=a-1 server=i-1 slowness=1.00 report_age_us=90
-time_ms=15 level=info event=repeat id=a-1 cause=refused
+time_ms=15 level=info event=send_ended id=a-1 server=i-1 cause=refused again=true
 time_ms=40 level=info event=request id=a-1 route=r version=7 service=status server=i-2 near=true outcome=served status=200 detail=answer sends=2 runs=1 hedges=0 looks=4 waited_us=2000 took_us=30000
 time_ms=50 level=warn event=request id=a-10 route=r version=7 service=orders server= near=false outcome=refused status=503 detail=no_room sends=0 runs=0 hedges=0 looks=9 waited_us=0 took_us=450000
 time_ms=55 level=warn event=request id=a-13 route=r version=7 service=orders server=i-3 near=true outcome=refused status=503 detail=no_room sends=2 runs=0 hedges=0 looks=9 waited_us=0 took_us=45000
--- a/cuminspread/src/coordination/dispatch/results.rs
+++ b/cuminspread/src/coordination/dispatch/results.rs
@@ -263,7 +263,14 @@
         let again = match reason {
             Some(_) => false,
             None if moved => self.send_or_enqueue(now, id, ending, out),
-            None => self.spend_retry(id) && self.send_or_enqueue(now, id, ending, out),
+            None if !self.spend_retry(id) => false,
+            None => {
+                let sent = self.send_or_enqueue(now, id, ending, out);
+                if !sent {
+                    self.refund_retry(id);
+                }
+                sent
+            }
         };
         if !again {
             let failure = self.calls.get(&id).map(|r| r.failure);
@@ -337,6 +344,17 @@
         true
     }
 
+    /// Gives back what [`Self::spend_retry`] took for an attempt that was not sent.
+    pub(super) fn refund_retry(&mut self, id: CallId) {
+        if !self.settings.guards.retries {
+            return;
+        }
+        if let Some(active) = self.calls.get_mut(&id) {
+            active.retry_budget += 1;
+            self.pools[active.pool as usize].retries.refund();
+        }
+    }
+
     pub(super) fn handle_caller_gone(&mut self, now: Mono, id: CallId, out: &mut Vec<CallAction>) {
         let Some(active) = self.calls.get_mut(&id) else {
             return;
--- a/cuminspread/src/coordination/dispatch/timers.rs
+++ b/cuminspread/src/coordination/dispatch/timers.rs
@@ -121,11 +121,18 @@
         };
         let single = active.live().count() == 1;
         let expired = now >= active.call.deadline;
-        let crashing = self.crashes.is_refused(now, active.call.fingerprint);
+        let crashing =
+            self.settings.guards.crashes && self.crashes.is_refused(now, active.call.fingerprint);
         let pool = &self.pools[active.pool as usize];
         let has_capacity = pool.limit.has_capacity(pool.in_flight) && pool.queue.is_empty();
-        if single && !expired && !crashing && has_capacity && self.spend_retry(id) {
-            self.send(now, id, Connection::New, out);
+        if single
+            && !expired
+            && !crashing
+            && has_capacity
+            && self.spend_retry(id)
+            && !self.send(now, id, Connection::New, out)
+        {
+            self.refund_retry(id);
         }
     }
 
--- a/cuminspread/src/coordination/retry.rs
+++ b/cuminspread/src/coordination/retry.rs
@@ -91,6 +91,11 @@
         }
         enough
     }
+
+    /// Gives back a token that was taken for an attempt that was not sent.
+    pub fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
 }
 
 /// Splits a chain's budget into the parts passed on with an attempt and kept.
--- a/cuminspread/src/coordination/server.rs
+++ b/cuminspread/src/coordination/server.rs
@@ -191,7 +191,7 @@
     /// daemon alone has there (`still_running`).
     pub fn record_report(&mut self, now: Mono, load: &LoadReport, still_running: u32) {
         let age = Duration::from_millis(u64::from(load.age_ms));
-        let plausible = load.in_flight + 1 >= still_running;
+        let plausible = load.in_flight.saturating_add(1) >= still_running;
         if plausible {
             self.trust = (self.trust + TRUST_GAIN).min(1.0);
         } else {
--- a/cuminspread/src/coordination/spread.rs
+++ b/cuminspread/src/coordination/spread.rs
@@ -402,7 +402,7 @@
 
     fn run_due(&mut self, now: Mono, out: &mut Vec<Action>) {
         let configs = &self.configs;
-        self.fetches.retain(|council, stamp| {
+        self.fetches.retain(now, |council, stamp| {
             stamp > configs.latest(council)
                 || configs
                     .accepted(council)
--- a/cuminspread/src/coordination/spread/fetch.rs
+++ b/cuminspread/src/coordination/spread/fetch.rs
@@ -67,10 +67,14 @@
         Some(fetch.stamp)
     }
 
-    /// Drops fetches that are not needed or had too many requests.
-    pub(super) fn retain(&mut self, needed: impl Fn(&Name, Stamp) -> bool) {
-        self.0
-            .retain(|(council, _), f| f.requests < MAX_REQUESTS && needed(council, f.stamp));
+    /// Drops fetches that are not needed, or whose last request has had its time for an answer.
+    pub(super) fn retain(&mut self, now: Mono, needed: impl Fn(&Name, Stamp) -> bool) {
+        self.0.retain(|(council, _), f| {
+            let awaited = f
+                .last_request
+                .is_some_and(|at| now.since(at) < RETRY_INTERVAL);
+            (f.requests < MAX_REQUESTS || awaited) && needed(council, f.stamp)
+        });
     }
 
     /// Requests to send now.
--- a/cuminspread/tests/dispatch/retry.rs
+++ b/cuminspread/tests/dispatch/retry.rs
@@ -1,11 +1,13 @@
 //! Retry budgets, hedges and moves.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminspread::coordination::dispatch::{DispatchSettings, Guards};
-use cuminspread::coordination::event::{Call, CallAction, Connection, Ending, Verdict};
+use cuminspread::coordination::event::{Call, CallAction, CallEvent, Connection, Ending, Verdict};
 use cuminspread::coordination::retry::{RetrySettings, split_budget};
+use cuminspread::state::load::LoadReport;
 
 use crate::support::{Driver, cancels, council, sends, verdict};
 
@@ -163,3 +165,43 @@
         assert_eq!(driver.broken(), 0);
     }
 }
+
+/// A hedge that finds no server leaves its token for a retry that can be sent.
+#[test]
+fn attempts_that_are_not_sent_cost_no_token() {
+    let settings = DispatchSettings {
+        retry: RetrySettings {
+            ratio: 0.0,
+            burst: 1.0,
+            ..without_moves().retry
+        },
+        ..without_moves()
+    };
+    let mut driver = Driver::new(settings, &council("east", 1, 6));
+    driver.run_calls(50, Duration::from_millis(5));
+    let call = driver.new_call(true);
+    driver.receive(&call);
+    let actions = driver.advance(Duration::from_millis(100));
+    assert_eq!(sends(&actions), 0, "there is no second server");
+    driver.head(&call, 0, 200);
+    driver.end(&call, 0, Ending::Whole);
+    driver.handle(CallEvent::InForce(Arc::new(council("east", 2, 6))));
+    let call = driver.new_call(true);
+    driver.receive(&call);
+    let actions = driver.end(&call, 0, Ending::Refused);
+    assert_eq!(sends(&actions), 1, "the token pays for a retry");
+}
+
+#[test]
+fn a_load_report_of_any_size_is_accepted() {
+    let mut driver = Driver::new(DispatchSettings::default(), &council("east", 2, 6));
+    let call = driver.new_call(true);
+    driver.receive(&call);
+    let load = LoadReport {
+        in_flight: u32::MAX,
+        ..LoadReport::default()
+    };
+    driver.head_with(&call, 0, 200, Some(load));
+    let actions = driver.end(&call, 0, Ending::Whole);
+    assert!(matches!(verdict(&actions), Some(Verdict::Deliver(_))));
+}
--- a/cuminspread/tests/spread.rs
+++ b/cuminspread/tests/spread.rs
@@ -133,3 +133,51 @@
     }
     QuickCheck::new().tests(200).quickcheck(check);
 }
+
+#[test]
+fn the_answer_to_the_last_request_is_accepted() {
+    let seed = Seed {
+        council: 1,
+        version: 3,
+        text: 9,
+        kind: 100,
+    };
+    let mut spread = Spread::new(SpreadSettings::default(), InvariantChecks::default());
+    let mut out = Vec::new();
+    let mut now = Now {
+        mono: Mono(1),
+        wall: Wall(1),
+    };
+    let from = Name::new("a");
+    spread.handle(now, SpreadEvent::Peers(vec![from.clone()]), &mut out);
+    let message = seed.have();
+    let offer = SpreadEvent::Received {
+        from: from.clone(),
+        message,
+    };
+    spread.handle(now, offer, &mut out);
+    let wants = |out: &[Action]| {
+        let wants = out.iter().filter(|action| {
+            matches!(
+                action,
+                Action::Send {
+                    message: Message::Spread(SpreadMessage::Want { .. }),
+                    ..
+                }
+            )
+        });
+        wants.count()
+    };
+    // The peer answers none of the requests but the last one.
+    while wants(&out) < 12 {
+        now.mono.0 += 100_000;
+        spread.handle(now, SpreadEvent::Tick, &mut out);
+        assert!(now.mono.0 < 60_000_000, "{} requests", wants(&out));
+    }
+    now.mono.0 += 20_000;
+    spread.handle(now, SpreadEvent::Tick, &mut out);
+    let message = seed.files();
+    out.clear();
+    spread.handle(now, SpreadEvent::Received { from, message }, &mut out);
+    assert!(out.iter().any(|a| matches!(a, Action::InForce(_))));
+}
--- a/cuminspreadd/src/main.rs
+++ b/cuminspreadd/src/main.rs
@@ -61,6 +61,10 @@
         println!("{path}: ok");
         return Ok(ExitCode::SUCCESS);
     }
+    anyhow::ensure!(
+        record.is_none() || settings.edge.is_none(),
+        "--record isn't supported with [store]"
+    );
     settings.log.record = record.or(settings.log.record);
     logging::init(&settings.log)?;
     if let Some(edge) = settings.edge.take() {
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -249,6 +249,15 @@
                 self.fault(0, key, "is required".to_owned());
             }
         }
+        if self.settings.edge.is_some() {
+            for (section, key) in UNSUPPORTED_WITH_STORE {
+                let key_path = (section.to_owned(), key.to_owned());
+                if let Some(line) = self.seen.get(&key_path).copied() {
+                    section.clone_into(&mut self.section);
+                    self.fault(line, key, "isn't supported with [store]".to_owned());
+                }
+            }
+        }
         if self.faults.is_empty() {
             Ok(self.settings)
         } else {
@@ -279,6 +288,10 @@
     ("store", "address"),
 ];
 
+/// Keys that a daemon in store mode has no use for.
+const UNSUPPORTED_WITH_STORE: [(&str, &str); 3] =
+    [("traces", "otlp"), ("traces", "file"), ("log", "record")];
+
 /// Required keys in folder mode.
 const REQUIRED_WITHOUT_STORE: [(&str, &str); 4] = [
     ("daemon", "name"),
--- a/cuminspreadd/tests/daemon/settings.rs
+++ b/cuminspreadd/tests/daemon/settings.rs
@@ -192,3 +192,23 @@
         assert!(found, "{}: {faults}", case.name);
     }
 }
+
+#[test]
+fn keys_without_use_in_store_mode_are_refused_by_line() {
+    const STORE: &str =
+        "[daemon]\nname = vm-1\ndata_centre = hall\n[store]\naddress = 10.0.0.1:8384\n";
+    let cases = [
+        ("[traces]\notlp = http://127.0.0.1:4318\n", "traces", "otlp"),
+        ("[traces]\nfile = /tmp/spans\n", "traces", "file"),
+        ("[log]\nrecord = /tmp/recording\n", "log", "record"),
+    ];
+    assert!(parse("vm.ini", STORE).is_ok());
+    for (added, section, key) in cases {
+        let faults = parse("vm.ini", &format!("{STORE}{added}")).unwrap_err();
+        let found = faults.0.iter().any(|fault| {
+            (fault.line, &*fault.section, &*fault.key) == (7, section, key)
+                && fault.problem.contains("[store]")
+        });
+        assert!(found, "{section} {key}: {faults}");
+    }
+}
--- a/cuminspreadd/tests/edge/responses.rs
+++ b/cuminspreadd/tests/edge/responses.rs
@@ -106,8 +106,8 @@
         let res = send(&daemon, &req).await;
         assert_eq!(res.status, case.status, "{name}");
         assert!(res.complete, "{name}");
-        let signature = res.field("x-signed").is_none() && res.head.contains("signature");
-        assert_eq!(signature, case.from_server, "{name}");
+        let is_signed = res.head.contains("signature: sig-");
+        assert_eq!(is_signed, case.from_server, "{name}");
         if case.behaviour == Behaviour::EarlyResponse {
             // The server reads the body and counts the run after its response.
             wait_for("a run", async || fixture.runs() > 0).await;
