restart: the first second back serves instead of refusing

Ruled out: the start of the process (5 to 60 ms); the requests that were running when power was lost (666 of the window before), which can't be served.

Change: after a restart a daemon reads the configuration alone, then the servers whose ids begin with one of sixteen digits, chosen by its rank, so that daemons know different ones; if a routed service has fewer than three of them, the first page as well. Requests that arrive in the first 0.6 s wait for the two, for a quarter of their time at most, instead of being refused.

Tests: sync::requests_right_after_a_restart_wait_for_the_configuration (503 on the code before), reader::a_sample_suffices_if_each_routed_service_has_servers, sync::a_restarted_daemon_serves_with_a_sample_of_the_store (holds before, too).

--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -14,12 +14,16 @@
 //! began to leave; another daemon must read the change within the platform's time limit. Or the
 //! store is away for seconds, and hundreds of daemons miss its answers at the same time.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::RngExt as _;
 use rand_pcg::Pcg32;
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::catalog::ServerEntry;
+use crate::state::Name;
+use crate::state::routing::Routing;
 use crate::state::time::Mono;
 
 /// Settings of reads of the store.
@@ -116,6 +120,29 @@
     Spent,
 }
 
+/// Servers of each service that a sample of the store must have.
+const MIN_SAMPLED_SERVERS: usize = 3;
+
+/// Whether some of the servers are enough to serve requests until all are known: each service that
+/// a route uses has a few of them.
+///
+/// Load pattern: all daemons restart at the same moment, and the link of the store takes longer for
+/// all servers to each of them than callers wait.
+pub fn sample_suffices<'a>(
+    routing: &Routing,
+    servers: impl Iterator<Item = &'a ServerEntry>,
+) -> bool {
+    let mut counts: HashMap<&Name, usize> = HashMap::new();
+    for server in servers.filter(|s| !s.draining) {
+        *counts.entry(&server.service).or_default() += 1;
+    }
+    let mut services = routing.routes.iter().flat_map(|r| &r.services);
+    services.all(|s| {
+        let count = counts.get(&s.service).copied().unwrap_or_default();
+        s.weight == 0 || count >= MIN_SAMPLED_SERVERS
+    })
+}
+
 /// State of a read that another daemon makes to take over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/cuminspread/tests/reader.rs
+++ b/cuminspread/tests/reader.rs
@@ -1,8 +1,13 @@
 //! Which daemon reads the store: one of many, and another one soon after the reader fails.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cuminspread::coordination::reader::{ReadSchedule, ReaderSettings, Role};
+use cuminspread::coordination::catalog::ServerEntry;
+use cuminspread::coordination::reader::{ReadSchedule, ReaderSettings, Role, sample_suffices};
+use cuminspread::state::Name;
+use cuminspread::state::routing::{Route, Routing, WeightedService};
 use cuminspread::state::time::Mono;
 
 /// Limit on the age of updates of leaving servers and of configurations at the users' sites.
@@ -269,3 +274,77 @@
     schedule.read_now(now);
     assert!(schedule.begin(now).is_some());
 }
+
+#[test]
+fn a_sample_suffices_if_each_routed_service_has_servers() {
+    struct Case {
+        what: &'static str,
+        /// Sampled servers: service, number, and whether they are leaving.
+        servers: &'static [(&'static str, usize, bool)],
+        suffices: bool,
+    }
+    let cases = [
+        Case {
+            what: "a few servers of both services",
+            servers: &[("status", 3, false), ("orders", 4, false)],
+            suffices: true,
+        },
+        Case {
+            what: "a service without servers",
+            servers: &[("status", 30, false)],
+            suffices: false,
+        },
+        Case {
+            what: "a service with leaving servers only",
+            servers: &[("status", 3, false), ("orders", 4, true)],
+            suffices: false,
+        },
+        Case {
+            what: "a service that no route uses doesn't matter",
+            servers: &[
+                ("status", 3, false),
+                ("orders", 4, false),
+                ("old", 0, false),
+            ],
+            suffices: true,
+        },
+    ];
+    let route = |service: &str| {
+        Arc::new(Route {
+            name: Name::new(service),
+            services: vec![WeightedService {
+                service: Name::new(service),
+                weight: 1,
+            }],
+            host: Name::new("shop.example"),
+            prefix: Name::new("/"),
+            idempotent: true,
+            timeout: Duration::from_secs(2),
+            latency_target: Duration::from_secs(1),
+            priority: 1,
+            max_attempts: 2,
+        })
+    };
+    let routing = Routing {
+        routes: vec![route("status"), route("orders")],
+        ..Routing::default()
+    };
+    for case in cases {
+        let servers = case.servers.iter().flat_map(|&(service, count, draining)| {
+            (0..count).map(move |i| ServerEntry {
+                id: Name::new(format!("i-{i}")),
+                service: Name::new(service),
+                address: SocketAddr::from(([10, 0, 0, 1], 80)),
+                data_centre: Name::new("a"),
+                slots: 4,
+                draining,
+                warm_up: Duration::ZERO,
+                started_ms: 1,
+                sequence: 1,
+            })
+        });
+        let servers: Vec<ServerEntry> = servers.collect();
+        let suffices = sample_suffices(&routing, servers.iter());
+        assert_eq!(suffices, case.suffices, "{}", case.what);
+    }
+}
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -15,7 +15,7 @@
 use anyhow::Context as _;
 use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
 use cuminspread::coordination::mesh::Mesh;
-use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
+use cuminspread::coordination::reader::{self, ReadAttempt, ReadSchedule, Role};
 use cuminspread::protocol::gossip::{
     CrashReport, Daemon, GossipMessage, PullResponse, ReadAttemptReport, Versions,
 };
@@ -356,15 +356,28 @@
         if !self.lock().catalog.revision().is_empty() {
             return;
         }
+        if let Err(e) = self.read_sample_parts().await {
+            self.edge.metrics.count_read("failed");
+            log::info!("event=glimpse_failed cause=\"{e}\"");
+        }
+    }
+
+    /// Reads the configuration, then some servers, and more of them if these aren't enough.
+    async fn read_sample_parts(self: &Arc<Self>) -> Result<(), ReadError> {
         let salt = self.lock().mesh.me().rank().wrapping_mul(GOLDEN_RATIO) ^ self.edge.started_ms;
-        let salt = salt.wrapping_mul(GOLDEN_RATIO);
-        match self.store.read_sample(salt, SAMPLE_TIMEOUT).await {
-            Ok(result) => self.handle_read_result(result),
-            Err(e) => {
-                self.edge.metrics.count_read("failed");
-                log::info!("event=glimpse_failed cause=\"{e}\"");
-            }
+        let salt = salt.wrapping_mul(GOLDEN_RATIO) >> 32;
+        self.handle_read_result(self.store.read_config(SAMPLE_TIMEOUT).await?);
+        self.handle_read_result(self.store.read_sample(salt, SAMPLE_TIMEOUT).await?);
+        let suffices = {
+            let state = self.lock();
+            let table = self.edge.table();
+            !state.catalog.revision().is_empty()
+                || reader::sample_suffices(table.routing(), state.catalog.entries())
+        };
+        if !suffices {
+            self.handle_read_result(self.store.read_first_servers(SAMPLE_TIMEOUT).await?);
         }
+        Ok(())
     }
 
     /// Reads the changes after a revision, or a snapshot if `after` is empty, its history is gone or
@@ -466,7 +479,9 @@
         if let Some(routing) = result.routing {
             self.edge.activate(routing, "store");
         }
-        self.apply_changes(&new, "store", Duration::ZERO);
+        if !partial || !new.is_empty() {
+            self.apply_changes(&new, "store", Duration::ZERO);
+        }
         // Peers would pull each part of a long history by itself.
         if !partial && !result.may_have_more {
             self.publish();
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -52,6 +52,11 @@
 const FINAL_RESPONSE_DELAY: Duration = Duration::from_millis(30);
 /// Smallest read buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8192;
+/// Time after the daemon's start for which requests wait for the first configuration and servers,
+/// instead of being refused; they usually come within 0.2 s.
+const START_HOLD: Duration = Duration::from_millis(600);
+/// Requests wait for them for this part of the caller's timeout at most.
+const START_PATIENCE_DIVISOR: u32 = 4;
 
 type HttpResponse = Response<UnsyncBoxBody<Bytes, BoxError>>;
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -249,6 +254,10 @@
     if phase == StopPhase::Closed {
         return Err(Rejection::Refused(id, RefusalReason::Stopping));
     }
+    let patience = fields.timeout.map(|t| t / START_PATIENCE_DIVISOR);
+    let known_by = Mono::default() + START_HOLD;
+    edge.wait_known(patience.map_or(known_by, |p| known_by.min(arrived + p)))
+        .await;
     let table = edge.table();
     let version = table.routing().version;
     if version == 0 {
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher as _, DefaultHasher, Hash as _, Hasher as _, RandomState};
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -21,6 +22,7 @@
 use cuminspread::transport::upstream::{Upstream, UpstreamSettings};
 use rand_pcg::Pcg32;
 use tokio::sync::Notify;
+use tokio::time::timeout_at;
 
 use super::crash::CrashTracker;
 use super::metrics::EdgeMetrics;
@@ -142,6 +144,8 @@
     stopping: AtomicBool,
     rejecting_waiting: AtomicBool,
     registry_known: AtomicBool,
+    /// Notified when the first configuration or the first servers are known.
+    first_known: Notify,
     in_flight: AtomicUsize,
     buffered: AtomicUsize,
 }
@@ -179,6 +183,7 @@
             stopping: AtomicBool::new(false),
             rejecting_waiting: AtomicBool::new(false),
             registry_known: AtomicBool::new(false),
+            first_known: Notify::new(),
             in_flight: AtomicUsize::new(0),
             buffered: AtomicUsize::new(0),
             settings,
@@ -230,6 +235,9 @@
             *active = Arc::clone(&table);
         }
         self.active_since.store(self.now().0, Ordering::Release);
+        if before == 0 {
+            self.first_known.notify_waiters();
+        }
         self.servers().retain_routes(&table);
         log::info!(
             "event=in_force version={version} before={before} routes={routes} source={source}"
@@ -263,12 +271,32 @@
 
     /// Marks the registry as known, which readiness requires.
     pub fn set_registry_known(&self) {
-        self.registry_known.store(true, Ordering::Release);
+        if !self.registry_known.swap(true, Ordering::AcqRel) {
+            self.first_known.notify_waiters();
+        }
+    }
+
+    /// Whether routes and servers are known.
+    fn knows_all(&self) -> bool {
+        self.version() > 0 && self.registry_known.load(Ordering::Acquire)
+    }
+
+    /// Waits until routes and servers are known, or until a time.
+    pub async fn wait_known(&self, until: Mono) {
+        let until = self.instant(until);
+        while !self.knows_all() {
+            let mut known = pin!(self.first_known.notified());
+            // Registered before the check, so that no notification is missed.
+            known.as_mut().enable();
+            if self.knows_all() || timeout_at(until, known).await.is_err() {
+                return;
+            }
+        }
     }
 
     /// Whether routes and servers are known and the daemon isn't stopping.
     pub fn is_ready(&self) -> bool {
-        self.version() > 0 && self.registry_known.load(Ordering::Acquire) && !self.is_stopping()
+        self.knows_all() && !self.is_stopping()
     }
 
     /// Whether a graceful stop has begun.
--- a/cuminspreadd/tests/edge/sync.rs
+++ b/cuminspreadd/tests/edge/sync.rs
@@ -49,6 +49,71 @@
     daemon.kill();
 }
 
+#[tokio::test]
+async fn requests_right_after_a_restart_wait_for_the_configuration() {
+    struct Case {
+        store: Mode,
+        status: u16,
+        /// Bounds of the time until the response to a request that comes at the start.
+        answered_ms: std::ops::Range<u128>,
+    }
+    let cases = [
+        Case {
+            store: Mode::Slow(60),
+            status: 200,
+            answered_ms: 0..600,
+        },
+        // A store that is away is no reason to wait for long.
+        Case {
+            store: Mode::Silent,
+            status: 503,
+            answered_ms: 0..900,
+        },
+    ];
+    for case in cases {
+        let fixture = Fixture::new(2, RouteRow::default()).await;
+        fixture.store.set_mode(case.store);
+        let (settings, edge_settings) = fixture.settings(&[]);
+        let daemon = EdgeDaemon::start(settings, edge_settings).await.unwrap();
+        let began = std::time::Instant::now();
+        assert_eq!(status(&daemon, "/").await, case.status, "{:?}", case.store);
+        let took = began.elapsed().as_millis();
+        assert!(
+            case.answered_ms.contains(&took),
+            "{:?}: {took} ms",
+            case.store
+        );
+        if case.status == 503 {
+            let began = std::time::Instant::now();
+            assert_eq!(status(&daemon, "/").await, 503);
+            let took = began.elapsed().as_millis();
+            assert!(
+                took < 100,
+                "refused at once after the start, not in {took} ms"
+            );
+        }
+        daemon.kill();
+    }
+}
+
+#[tokio::test]
+async fn a_restarted_daemon_serves_with_a_sample_of_the_store() {
+    let fixture = Fixture::new(1, RouteRow::default()).await;
+    let address = fixture.servers[0].address();
+    for i in 0..400_u32 {
+        let id = format!("i-{:08x}", i.wrapping_mul(0x9e37_79b9));
+        fixture.store.put_server(&id, "others", address, &json!({}));
+    }
+    // The seed doesn't run, and the daemon reads all of the store only after 0.5 s.
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+    let (settings, edge_settings) = fixture.settings(&[nobody]);
+    let daemon = EdgeDaemon::start(settings, edge_settings).await.unwrap();
+    let took = wait_for("readiness", async || is_ready(&daemon).await).await;
+    assert!(took < Duration::from_millis(400), "{took:?}");
+    assert_eq!(status(&daemon, "/").await, 200);
+    daemon.kill();
+}
+
 #[tokio::test]
 async fn changes_are_active_at_all_daemons_within_the_bound() {
     struct Case {
