--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -136,9 +136,7 @@
                 let is_empty = state.catalog.revision().is_empty();
                 let near = state.mesh.near_peers();
                 drop(state);
-                for daemon in &new {
-                    log_new_peer(daemon);
-                }
+                log_new_peers(&new);
                 if is_empty {
                     // A daemon that has just started doesn't wait for an update.
                     let wanted = Versions {
@@ -406,13 +404,27 @@
 
 fn record_peer(state: &mut SyncState, now: Mono, daemon: &Daemon) {
     if state.mesh.record_heard(now, daemon) {
-        log_new_peer(daemon);
+        log_new_peers(std::slice::from_ref(daemon));
     }
 }
 
-fn log_new_peer(daemon: &Daemon) {
-    let (address, data_centre) = (daemon.address, &daemon.data_centre);
-    log::info!("event=peer_known peer={address} data_centre={data_centre}");
+/// Logs peers in one line, so that a daemon that learns of hundreds at its start doesn't use up its
+/// limit of lines.
+fn log_new_peers(new: &[Daemon]) {
+    if let [daemon] = new {
+        let (address, data_centre) = (daemon.address, &daemon.data_centre);
+        log::info!("event=peer_known peer={address} data_centre={data_centre}");
+    } else if !new.is_empty() {
+        let peers = new
+            .iter()
+            .map(|d| format!("{}@{}", d.address, d.data_centre));
+        let peers: Vec<String> = peers.collect();
+        log::info!(
+            "event=peers_known count={} peers={}",
+            new.len(),
+            peers.join(",")
+        );
+    }
 }
 
 /// Update that carries only the versions that its sender can serve.
