placement: a daemon's subset is as large as its probes keep in use

Change: the subset has as many servers as get three probes each within the idle timeout (one connection in twenty is closed before), at least three to find a fast one, at most eight as before; it shrinks only by two or more.

Tests: placement::subsets_are_as_large_as_the_probes_keep_in_use, a_subset_shrinks_by_two_or_more (the size was the constant 8 before).

--- a/cuminspread/src/coordination/placement.rs
+++ b/cuminspread/src/coordination/placement.rs
@@ -19,10 +19,12 @@
 mod load_slowdown;
 mod server_state;
 mod settings;
+mod subset;
 
 pub use load_slowdown::LoadSlowdown;
 pub use server_state::{AttemptEnd, PlacementContext, ServerLoad, ServerState};
 pub use settings::PlacementSettings;
+pub use subset::{ProbeRate, subset_size};
 
 /// Next step of a placement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/cuminspread/src/coordination/placement/settings.rs
+++ b/cuminspread/src/coordination/placement/settings.rs
@@ -19,8 +19,10 @@
     pub unreported_confidence: f32,
     /// Score added to the servers of this daemon's subset when servers to probe are picked.
     pub subset_bonus: f32,
-    /// Near servers of each service in this daemon's subset.
-    pub subset_size: usize,
+    /// Fewest near servers of a service in this daemon's subset; enough to find a fast one.
+    pub min_subset_size: usize,
+    /// Most near servers of a service in this daemon's subset.
+    pub max_subset_size: usize,
     /// Fraction of a request's value that it costs to leave the data centre.
     pub far_cost: f32,
     /// Pause before the same servers are probed again; short against the time for which a server
@@ -64,7 +66,8 @@
             latency_cost: 0.08,
             unreported_confidence: 0.6,
             subset_bonus: 0.5,
-            subset_size: 8,
+            min_subset_size: 3,
+            max_subset_size: 8,
             far_cost: 0.2,
             pause: Duration::from_millis(25),
             near_wait: Duration::from_millis(60),
--- a/cuminspread/tests/placement.rs
+++ b/cuminspread/tests/placement.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use cuminspread::coordination::placement::{
-    self, AttemptEnd, LoadSlowdown, PlacementContext, PlacementSettings, Progress, ServerLoad,
-    ServerState, Step,
+    self, AttemptEnd, LoadSlowdown, PlacementContext, PlacementSettings, ProbeRate, Progress,
+    ServerLoad, ServerState, Step, subset_size,
 };
 use cuminspread::state::time::Mono;
 use rand::RngExt as _;
@@ -590,3 +590,62 @@
         assert!(case.measured.contains(&factor), "{}: {factor}", case.factor);
     }
 }
+
+#[test]
+fn subsets_are_as_large_as_the_probes_keep_in_use() {
+    struct Case {
+        what: &'static str,
+        /// Time between two probes of the service by this daemon.
+        interval_ms: u64,
+        idle_timeout: Duration,
+        size: usize,
+    }
+    let cases = [
+        Case {
+            what: "one of hundreds of daemons, with less than a probe a second",
+            interval_ms: 1200,
+            idle_timeout: Duration::from_secs(8),
+            size: 3,
+        },
+        Case {
+            what: "two probes a second",
+            interval_ms: 500,
+            idle_timeout: Duration::from_secs(8),
+            size: 5,
+        },
+        Case {
+            what: "one of 16 daemons",
+            interval_ms: 25,
+            idle_timeout: Duration::from_secs(8),
+            size: 8,
+        },
+        Case {
+            what: "connections that are kept for long",
+            interval_ms: 1200,
+            idle_timeout: Duration::from_secs(30),
+            size: 8,
+        },
+    ];
+    let settings = PlacementSettings::default();
+    for case in cases {
+        let mut rate = ProbeRate::default();
+        let mut size = settings.min_subset_size;
+        let mut now = Mono(0);
+        while now < Mono(60_000_000) {
+            now = now + Duration::from_millis(case.interval_ms);
+            rate.record(now, 1);
+            size = subset_size(rate.read(now), case.idle_timeout, size, &settings);
+        }
+        assert_eq!(size, case.size, "{}", case.what);
+    }
+}
+
+#[test]
+fn a_subset_shrinks_by_two_or_more() {
+    let settings = PlacementSettings::default();
+    let idle_timeout = Duration::from_secs(8);
+    // 2 probes a second keep 5 servers in use.
+    assert_eq!(subset_size(2.0, idle_timeout, 6, &settings), 6);
+    assert_eq!(subset_size(2.0, idle_timeout, 7, &settings), 5);
+    assert_eq!(subset_size(2.0, idle_timeout, 3, &settings), 5);
+}
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -337,6 +337,8 @@
         let table = self.edge.table();
         let mut servers = self.edge.servers();
         servers.set_daemons(daemons, &table);
+        let idle_timeout = self.edge.settings.servers.connections.idle_timeout;
+        servers.resize_subsets(now, idle_timeout, self.edge.placement());
         for id in expired {
             log::info!("event=server_gone server={id} cause=lapsed");
             servers.remove(&id);
@@ -532,7 +534,7 @@
             }
         }
         for service in services {
-            servers.choose_subset(&service, self.edge.placement().subset_size);
+            servers.choose_subset(&service, self.edge.placement());
         }
     }
 }
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -7,6 +7,7 @@
 use cuminspread::coordination::placement::{self, PlacementContext, Progress, Step};
 use cuminspread::coordination::refusal::RefusalReason;
 use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket};
+use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::upstream::Upstream;
 use futures_util::StreamExt as _;
@@ -105,7 +106,7 @@
                 continue;
             }
         };
-        let (keys, allowed) = shortlist(edge, &from, &cx, count);
+        let (keys, allowed) = shortlist(edge, &req.service, &from, &cx, count);
         if cx.load_unknown {
             probed.extend(keys);
             continue;
@@ -124,6 +125,7 @@
 /// Picks servers to probe; returns how many of them, from the first, may be probed now.
 fn shortlist(
     edge: &Edge,
+    service: &Name,
     from: &[ServerKey],
     cx: &PlacementContext,
     count: usize,
@@ -137,7 +139,7 @@
     if cx.load_unknown {
         return (keys, 0);
     }
-    let allowed = servers.take_probes(cx.now, keys.len(), &edge.edge_settings);
+    let allowed = servers.take_probes(cx.now, service, keys.len(), &edge.edge_settings);
     (keys, allowed)
 }
 
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -9,7 +9,8 @@
 
 use cuminspread::coordination::catalog::ServerEntry;
 use cuminspread::coordination::placement::{
-    AttemptEnd, LoadSlowdown, PlacementContext, PlacementSettings, ServerLoad, ServerState,
+    self, AttemptEnd, LoadSlowdown, PlacementContext, PlacementSettings, ProbeRate, ServerLoad,
+    ServerState,
 };
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::retry::TokenBucket;
@@ -80,6 +81,9 @@
     slowdown: HashMap<Name, LoadSlowdown>,
     /// Services whose servers answer probes without reporting a load.
     load_unknown: HashSet<Name>,
+    probe_rates: HashMap<Name, ProbeRate>,
+    /// Size of this daemon's subset of the servers of each service.
+    subset_sizes: HashMap<Name, usize>,
     /// Number hashed with server ids, so that each daemon has its own subset of the servers.
     subset_salt: u64,
     probe_limiter: ProbeLimiter,
@@ -356,6 +360,8 @@
             queues: HashMap::new(),
             slowdown: HashMap::new(),
             load_unknown: HashSet::new(),
+            probe_rates: HashMap::new(),
+            subset_sizes: HashMap::new(),
             subset_salt: seed,
             probe_limiter: ProbeLimiter::new(ProbeLimiterSettings::default()),
             rng: Pcg32::new(seed, 3),
@@ -430,7 +436,9 @@
 
     /// Chooses this daemon's subset of the near servers of a service, by rendezvous hashing: the
     /// subset changes little as servers come and go, and differs between daemons.
-    pub fn choose_subset(&mut self, service: &Name, subset: usize) {
+    pub fn choose_subset(&mut self, service: &Name, settings: &PlacementSettings) {
+        let subset = self.subset_sizes.get(service).copied();
+        let subset = subset.unwrap_or(settings.min_subset_size);
         let keys = self.by_service.get(service).cloned().unwrap_or_default();
         let mut ranked: Vec<(u64, ServerKey)> = Vec::new();
         for key in keys {
@@ -452,6 +460,28 @@
         }
     }
 
+    /// Adapts the subsets to the rates of probes, for connections that are closed after
+    /// `idle_timeout`.
+    pub fn resize_subsets(
+        &mut self,
+        now: Mono,
+        idle_timeout: Duration,
+        settings: &PlacementSettings,
+    ) {
+        let mut resized = Vec::new();
+        for (service, rate) in &self.probe_rates {
+            let current = self.subset_sizes.get(service).copied().unwrap_or_default();
+            let size = placement::subset_size(rate.read(now), idle_timeout, current, settings);
+            if size != current {
+                resized.push((service.clone(), size));
+            }
+        }
+        for (service, size) in resized {
+            self.subset_sizes.insert(service.clone(), size);
+            self.choose_subset(&service, settings);
+        }
+    }
+
     /// Sets the number of daemons that share the connections to each server.
     pub fn set_daemons(&mut self, daemons: usize, table: &RouteTable) {
         if std::mem::replace(&mut self.daemons, daemons.max(1)) == self.daemons {
@@ -558,10 +588,20 @@
         self.queues.entry(service.clone()).or_default()
     }
 
-    /// Takes up to `wanted` probes out of this daemon's limit; returns how many may be sent.
-    pub fn take_probes(&mut self, now: Mono, wanted: usize, settings: &EdgeSettings) -> usize {
+    /// Takes up to `wanted` probes of a service's servers out of this daemon's limit; returns how
+    /// many may be sent.
+    pub fn take_probes(
+        &mut self,
+        now: Mono,
+        service: &Name,
+        wanted: usize,
+        settings: &EdgeSettings,
+    ) -> usize {
         let share = self.probe_share(settings);
-        self.probe_limiter.take(now, wanted, share)
+        let taken = self.probe_limiter.take(now, wanted, share);
+        let rate = self.probe_rates.entry(service.clone()).or_default();
+        rate.record(now, taken);
+        taken
     }
 
     /// Recent probes a second of this daemon.
