--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -178,7 +178,7 @@
             ("listen", "readiness") => edge(s).readiness = address(value)?,
             ("store", "address") => edge(s).store = address(value)?,
             ("peers", "seeds") => edge(s).seeds = addresses(value)?,
-            ("peers", "core_share") => edge(s).capacity = (fraction(value)? * 100.0) as u16,
+            ("peers", "core_share") => edge(s).capacity = (fraction(value)? * 100.0).round() as u16,
             ("peers", "first_start") => edge(s).first_start = flag(value)?,
             ("bounds", "grace_s") => edge(s).grace = seconds(value)?,
             ("bounds", "retry_ratio") => edge(s).retry_ratio = fraction(value)?,
--- a/cuminspreadd/tests/daemon/settings.rs
+++ b/cuminspreadd/tests/daemon/settings.rs
@@ -212,3 +212,16 @@
         assert!(found, "{section} {key}: {faults}");
     }
 }
+
+#[test]
+fn shares_of_a_core_are_rounded_to_percents() {
+    let cases = (0..=100).map(|percent| (f64::from(percent) / 100.0, percent));
+    for (share, percent) in cases.chain([(0.125, 13), (0.996, 100)]) {
+        let text = format!(
+            "[daemon]\nname = vm-1\ndata_centre = hall\n[store]\naddress = 10.0.0.1:8384\n[peers]\n\
+             core_share = {share}\n"
+        );
+        let edge = parse("vm.ini", &text).unwrap().edge.unwrap();
+        assert_eq!(edge.capacity, percent, "{share}");
+    }
+}
