--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -30,5 +30,6 @@
 pub mod retry;
 pub mod server;
 pub mod spread;
+pub mod store_read;
 pub mod wait_queue;
 pub mod weighted_round_robin;
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -16,12 +16,13 @@
 use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{self, ReadAttempt, ReadSchedule, Role};
+use cuminspread::coordination::store_read::{Part, ReadError, ReadResult, Servers};
 use cuminspread::protocol::gossip::{
     CrashReport, Daemon, GossipMessage, PullResponse, ReadAttemptReport, Versions,
 };
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip::{self, Gossip};
-use cuminspread_platform::store::{ReadError, ReadResult, Servers, StoreClient};
+use cuminspread_platform::store::StoreClient;
 use rand::RngExt as _;
 use rand_pcg::Pcg32;
 use tokio::sync::Notify;
@@ -368,8 +369,9 @@
     async fn read_sample_parts(self: &Arc<Self>) -> Result<(), ReadError> {
         let salt = self.lock().mesh.me().rank().wrapping_mul(GOLDEN_RATIO) ^ self.edge.started_ms;
         let salt = salt.wrapping_mul(GOLDEN_RATIO) >> 32;
-        self.handle_read_result(self.store.read_config(SAMPLE_TIMEOUT).await?);
-        let mut sample = self.store.read_sample(salt, SAMPLE_TIMEOUT).await?;
+        self.handle_read_result(self.store.read_part(Part::Config, SAMPLE_TIMEOUT).await?);
+        let group = Part::ServerGroup(salt);
+        let mut sample = self.store.read_part(group, SAMPLE_TIMEOUT).await?;
         // Until the servers are known, requests wait instead of being refused for want of one.
         if !self.lock().catalog.revision().is_empty() {
             return Ok(());
@@ -377,7 +379,10 @@
         if let Servers::Sample(servers) = &sample.servers
             && !reader::sample_suffices(self.edge.table().routing(), servers.iter().map(|s| &s.1))
         {
-            sample = self.store.read_first_servers(SAMPLE_TIMEOUT).await?;
+            sample = self
+                .store
+                .read_part(Part::FirstServers, SAMPLE_TIMEOUT)
+                .await?;
         }
         self.handle_read_result(sample);
         Ok(())
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -92,31 +92,7 @@
         daemon: daemon.clone(),
         age: 12,
     };
-    let entry = ServerEntry {
-        id: "i-1".into(),
-        service: "orders".into(),
-        address: SocketAddr::from(([10, 1, 0, 9], 8000)),
-        data_centre: "hall".into(),
-        slots: 6,
-        draining: false,
-        warm_up: Duration::from_secs(2),
-        started_ms: 3,
-        sequence: 4,
-    };
-    let revision = |number| Revision { era: 1, number };
-    let changes = vec![
-        RevisionedChange {
-            revision: revision(7),
-            change: Change::Reported(entry.clone()),
-        },
-        RevisionedChange {
-            revision: revision(8),
-            change: Change::Removed {
-                id: "i-2".into(),
-                lapsed: true,
-            },
-        },
-    ];
+    let (entry, changes) = registry_values();
     let text = config_text(3, &[RouteRow::default()], 15.0);
     let routing = config::decode(text.as_bytes()).unwrap_or_default();
     let base = Routing {
@@ -190,6 +166,39 @@
     files
 }
 
+fn revision(number: u64) -> Revision {
+    Revision { era: 1, number }
+}
+
+/// A server's entry, and changes of the registry that it is part of.
+fn registry_values() -> (ServerEntry, Vec<RevisionedChange>) {
+    let entry = ServerEntry {
+        id: "i-1".into(),
+        service: "orders".into(),
+        address: SocketAddr::from(([10, 1, 0, 9], 8000)),
+        data_centre: "hall".into(),
+        slots: 6,
+        draining: false,
+        warm_up: Duration::from_secs(2),
+        started_ms: 3,
+        sequence: 4,
+    };
+    let changes = vec![
+        RevisionedChange {
+            revision: revision(7),
+            change: Change::Reported(entry.clone()),
+        },
+        RevisionedChange {
+            revision: revision(8),
+            change: Change::Removed {
+                id: "i-2".into(),
+                lapsed: true,
+            },
+        },
+    ];
+    (entry, changes)
+}
+
 fn message(target: Target, name: &'static str, message: &impl gossip::Message) -> SeedFile {
     // All messages passed here can be encoded.
     let data = gossip::encode(message).unwrap_or_default();
