reader: names of the wait for another daemon's read say what they are

Patience was a figurative name: HoldState, with Unused, Holding and Over; and START_HOLD_DIVISOR. No behaviour changes; takeover and reader tests pass.

--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -6,9 +6,10 @@
 //! [`ReaderSettings::takeover_after`] reads itself, after a random delay so that usually only one
 //! daemon starts. A follower tells its peers when it begins such a read, and when that fails: the
 //! others wait for the first result instead of reading at the same time, and once several reads of
-//! different daemons have failed, they count the store as down and share the attempts. Of two readers, the one with the higher rank number stops when it hears of the
-//! other's read. The daemons need no consensus: too many readers only cost money, and without a
-//! reader updates are late by at most the time to a takeover.
+//! different daemons have failed, they count the store as down and share the attempts. Of two
+//! readers, the one with the higher rank number stops when it hears of the other's read. The
+//! daemons need no consensus: too many readers only cost money, and without a reader updates are
+//! late by at most the time to a takeover.
 //!
 //! Load pattern: the reader is killed, partitioned or refused by the store right after a server
 //! began to leave; another daemon must read the change within the platform's time limit. Or the
@@ -50,8 +51,9 @@
     /// Time for which followers wait for the result of a read that another daemon has begun;
     /// enough for a snapshot of some hundred servers on a small VM.
     pub attempt_hold: Duration,
-    /// Other daemons whose reads have failed, without any that succeeded, from which on the store counts as
-    /// down; if it refuses just half of the daemons, so many fail in a row once in 64 times.
+    /// Number of other daemons whose reads have failed, without any that succeeded, from which on
+    /// the store counts as down; if it refuses just half of the daemons, so many fail in a row once
+    /// in 64 times.
     pub failures_for_outage: usize,
     /// Timeout of a read; it doubles with each failure in a row.
     pub timeout: Duration,
@@ -106,7 +108,7 @@
     daemons: u32,
     /// A daemon of lower rank read the store while this one was reading.
     superseded: bool,
-    patience: Patience,
+    hold_state: HoldState,
     /// Rank numbers of other daemons whose reads have failed since the last success, up to the
     /// number that counts as an outage.
     failed_peers: Vec<u64>,
@@ -114,10 +116,10 @@
 
 /// Whether a follower waits for the result of another daemon's read; once after each success.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Patience {
+enum HoldState {
     Unused,
     Holding { until: Mono },
-    Spent,
+    Over,
 }
 
 /// Servers of each service that a sample of the store must have.
@@ -167,7 +169,7 @@
             reading: false,
             daemons: 1,
             superseded: false,
-            patience: Patience::Unused,
+            hold_state: HoldState::Unused,
             failed_peers: Vec::new(),
         }
     }
@@ -297,19 +299,19 @@
         let in_turn = settings.follower_retry_delay * self.daemons;
         let in_outage = settings.follower_max_retry_delay * self.daemons;
         let hold = settings.attempt_hold;
-        match (attempt, self.patience) {
-            (ReadAttempt::Begun, Patience::Unused) => {
-                self.patience = Patience::Holding { until: now + hold };
+        match (attempt, self.hold_state) {
+            (ReadAttempt::Begun, HoldState::Unused) => {
+                self.hold_state = HoldState::Holding { until: now + hold };
                 let next = now + hold + self.takeover_delay();
                 self.next_read = self.next_read.max(next);
             }
-            (ReadAttempt::Begun, Patience::Holding { until }) if now >= until => {
-                self.patience = Patience::Spent;
+            (ReadAttempt::Begun, HoldState::Holding { until }) if now >= until => {
+                self.hold_state = HoldState::Over;
                 self.next_read = self.next_read.max(now + self.jitter(in_turn));
             }
             (ReadAttempt::Begun, _) => {}
-            (ReadAttempt::Failed, patience) => {
-                self.patience = Patience::Spent;
+            (ReadAttempt::Failed, before) => {
+                self.hold_state = HoldState::Over;
                 // Relays of the message repeat it.
                 if self.failed_peers.contains(&rank)
                     || self.failed_peers.len() >= settings.failures_for_outage
@@ -319,7 +321,7 @@
                 self.failed_peers.push(rank);
                 if self.failed_peers.len() == settings.failures_for_outage {
                     self.next_read = self.next_read.max(now + self.jitter(in_outage));
-                } else if patience != Patience::Spent {
+                } else if before != HoldState::Over {
                     self.next_read = now + self.jitter(in_turn);
                 }
             }
@@ -327,7 +329,7 @@
     }
 
     fn record_success(&mut self) {
-        self.patience = Patience::Unused;
+        self.hold_state = HoldState::Unused;
         self.failed_peers.clear();
     }
 
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -56,7 +56,7 @@
 /// instead of being refused; they usually come within 0.2 s.
 const START_HOLD: Duration = Duration::from_millis(600);
 /// Requests wait for them for this part of the caller's timeout at most.
-const START_PATIENCE_DIVISOR: u32 = 4;
+const START_HOLD_DIVISOR: u32 = 4;
 
 type HttpResponse = Response<UnsyncBoxBody<Bytes, BoxError>>;
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -254,9 +254,9 @@
     if phase == StopPhase::Closed {
         return Err(Rejection::Refused(id, RefusalReason::Stopping));
     }
-    let patience = fields.timeout.map(|t| t / START_PATIENCE_DIVISOR);
+    let longest = fields.timeout.map(|t| t / START_HOLD_DIVISOR);
     let known_by = Mono::default() + START_HOLD;
-    edge.wait_known(patience.map_or(known_by, |p| known_by.min(arrived + p)))
+    edge.wait_known(longest.map_or(known_by, |l| known_by.min(arrived + l)))
         .await;
     let table = edge.table();
     let version = table.routing().version;
