--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -447,11 +447,14 @@
             let age = state.read_schedule.age(now).unwrap_or_default().as_millis();
             log::info!("event=store_regained last_read_ms={age}");
         }
+        // Also if the era was unknown, as that of revisions from peers of an older format.
         let restored = !known.is_empty() && result.revision.era > known.era;
         if restored {
+            state.published_revisions.clear();
+        }
+        if restored && known.era > 0 {
             let revision = result.revision;
             log::warn!("event=store_restored revision={revision} before={known}");
-            state.published_revisions.clear();
         }
         if restored || state.read_schedule.is_outage(now) {
             state.lapse_until = now + LAPSE_WINDOW;
