edge: reads of the store and the queue of a service have files of their own

The mean rate of probes stood in two places: coordination::decaying_rate serves the probe limiter and the size of subsets. Moves and one shared type; no behaviour changes. Tests of placement, probe_limiter and edge pass.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 pub mod choice;
 pub mod crash;
+pub mod decaying_rate;
 pub mod dispatch;
 pub mod event;
 pub mod limits;
--- a/cuminspread/src/coordination/placement.rs
+++ b/cuminspread/src/coordination/placement.rs
@@ -24,7 +24,7 @@
 pub use load_slowdown::LoadSlowdown;
 pub use server_state::{AttemptEnd, PlacementContext, ServerLoad, ServerState};
 pub use settings::PlacementSettings;
-pub use subset::{ProbeRate, subset_size};
+pub use subset::{PROBE_RATE_HALF_LIFE, subset_size};
 
 /// Next step of a placement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/cuminspread/src/coordination/placement/subset.rs
+++ b/cuminspread/src/coordination/placement/subset.rs
@@ -7,36 +7,12 @@
 use std::time::Duration;
 
 use super::settings::PlacementSettings;
-use crate::state::time::Mono;
 
 /// Probes that a server of the subset gets on average within the idle timeout of a connection; then
 /// one connection in twenty is closed before the next probe.
 const PROBES_PER_IDLE_TIMEOUT: f32 = 3.0;
-/// Half-life of the rate of probes.
-const RATE_HALF_LIFE: Duration = Duration::from_secs(6);
-
-/// Decaying mean rate of the probes of one service.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct ProbeRate {
-    per_s: f32,
-    updated: Mono,
-}
-
-impl ProbeRate {
-    /// Records probes that were sent now.
-    pub fn record(&mut self, now: Mono, probes: usize) {
-        // Steady probing has its rate as the mean with this gain.
-        let gain = std::f32::consts::LN_2 / RATE_HALF_LIFE.as_secs_f32();
-        self.per_s = self.read(now) + probes as f32 * gain;
-        self.updated = now;
-    }
-
-    /// Probes a second.
-    pub fn read(&self, now: Mono) -> f32 {
-        let halvings = now.since(self.updated).as_secs_f32() / RATE_HALF_LIFE.as_secs_f32();
-        self.per_s * (-halvings).exp2()
-    }
-}
+/// Half-life of the rate of probes of a service.
+pub const PROBE_RATE_HALF_LIFE: Duration = Duration::from_secs(6);
 
 /// Number of near servers for a daemon that sends so many probes a second to their service.
 ///
--- a/cuminspread/src/coordination/probe_limiter.rs
+++ b/cuminspread/src/coordination/probe_limiter.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use crate::coordination::decaying_rate::DecayingRate;
 use crate::state::time::Mono;
 
 /// Settings of the probe limiter.
@@ -46,8 +47,6 @@
 const INCREASE_BELOW: f32 = 0.85;
 /// Half-life of the daemon's own probe rate.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(1);
-/// Gain with which [`ProbeLimiter::rate`] is the mean rate of steady probing: ln 2.
-const RATE_GAIN: f32 = std::f32::consts::LN_2;
 
 /// Token bucket of one daemon's probes, whose rate follows the use by the fleet.
 #[derive(Debug)]
@@ -59,9 +58,8 @@
     refilled_at: Mono,
     /// Mean rate of the peers, as a multiple of an equal share; `None` before the first report.
     mean_use: Option<f32>,
-    /// Decaying mean of this daemon's probes per second.
-    rate: f32,
-    rate_at: Mono,
+    /// This daemon's probes.
+    rate: DecayingRate,
 }
 
 impl ProbeLimiter {
@@ -73,8 +71,7 @@
             tokens: 0.0,
             refilled_at: Mono::default(),
             mean_use: None,
-            rate: 0.0,
-            rate_at: Mono::default(),
+            rate: DecayingRate::new(RATE_HALF_LIFE),
         }
     }
 
@@ -89,15 +86,13 @@
         self.refilled_at = now;
         let taken = (self.tokens as usize).min(wanted);
         self.tokens -= taken as f32;
-        self.rate = self.rate(now) + taken as f32 * RATE_GAIN / RATE_HALF_LIFE.as_secs_f32();
-        self.rate_at = now;
+        self.rate.record(now, taken);
         taken
     }
 
     /// Recent rate of this daemon, in probes per second.
     pub fn rate(&self, now: Mono) -> f32 {
-        let halvings = now.since(self.rate_at).as_secs_f32() / RATE_HALF_LIFE.as_secs_f32();
-        self.rate * (-halvings).exp2()
+        self.rate.read(now)
     }
 
     /// Records the rate that a peer reports, and adapts this daemon's share.
--- a/cuminspread/tests/placement.rs
+++ b/cuminspread/tests/placement.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use cuminspread::coordination::decaying_rate::DecayingRate;
 use cuminspread::coordination::placement::{
-    self, AttemptEnd, LoadSlowdown, PlacementContext, PlacementSettings, ProbeRate, Progress,
-    ServerLoad, ServerState, Step, subset_size,
+    self, AttemptEnd, LoadSlowdown, PROBE_RATE_HALF_LIFE, PlacementContext, PlacementSettings,
+    Progress, ServerLoad, ServerState, Step, subset_size,
 };
 use cuminspread::state::time::Mono;
 use rand::RngExt as _;
@@ -628,7 +629,7 @@
     ];
     let settings = PlacementSettings::default();
     for case in cases {
-        let mut rate = ProbeRate::default();
+        let mut rate = DecayingRate::new(PROBE_RATE_HALF_LIFE);
         let mut size = settings.min_subset_size;
         let mut now = Mono(0);
         while now < Mono(60_000_000) {
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -4,6 +4,7 @@
 //! [`ReadSchedule`], [`Mesh`] and [`Catalog`] make the decisions; one mutex guards them, which is
 //! never held across an await.
 
+mod store;
 mod sync;
 
 use std::collections::BTreeSet;
@@ -15,8 +16,7 @@
 use anyhow::Context as _;
 use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
 use cuminspread::coordination::mesh::Mesh;
-use cuminspread::coordination::reader::{self, ReadAttempt, ReadSchedule, Role};
-use cuminspread::coordination::store_read::{Part, ReadError, ReadResult, Servers};
+use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
 use cuminspread::protocol::gossip::{
     CrashReport, Daemon, GossipMessage, PullResponse, ReadAttemptReport, Versions,
 };
@@ -40,11 +40,6 @@
 /// Time that a daemon waits for peers before it reads the store itself: seeds may start 0.3 s later
 /// and then need a few calls. Seeds at the first start and daemons without seeds don't wait.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(500);
-/// Time after a restart in which a peer may send its snapshot, before the daemon reads a sample of
-/// the store.
-const SAMPLE_DELAY: Duration = Duration::from_millis(40);
-/// Timeout of each call that reads the sample.
-const SAMPLE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest random time added to the first delay, so that daemons don't all read if no seed runs.
 const FIRST_READ_JITTER: Duration = Duration::from_secs(1);
 /// Changes of one update that are logged individually; if there are more, their number is logged
@@ -52,10 +47,6 @@
 const MAX_LOGGED_CHANGES: usize = 24;
 /// Pulls that are served at the same time; each takes 0.1 s for a large change at 10 Mbit/s.
 const MAX_ACTIVE_PULLS: usize = 3;
-/// Time after an outage of the store in which servers may still register again, with some slack.
-const LAPSE_WINDOW: Duration = Duration::from_millis(2500);
-/// Odd multiplier that spreads the bits of a hash (2^64 divided by the golden ratio).
-const GOLDEN_RATIO: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Pause of the listener for peers after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -351,154 +342,6 @@
         next
     }
 
-    /// After a restart, reads enough of the store to serve requests, unless a peer answers first.
-    ///
-    /// Callers already send requests then, and the seeds may not have started yet.
-    async fn read_sample(self: Arc<Self>) {
-        sleep(SAMPLE_DELAY).await;
-        if !self.lock().catalog.revision().is_empty() {
-            return;
-        }
-        if let Err(e) = self.read_sample_parts().await {
-            self.edge.metrics.count_read("failed");
-            log::info!("event=glimpse_failed cause=\"{e}\"");
-        }
-    }
-
-    /// Reads the configuration, then some servers, and more of them if these aren't enough.
-    async fn read_sample_parts(self: &Arc<Self>) -> Result<(), ReadError> {
-        let salt = self.lock().mesh.me().rank().wrapping_mul(GOLDEN_RATIO) ^ self.edge.started_ms;
-        let salt = salt.wrapping_mul(GOLDEN_RATIO) >> 32;
-        self.handle_read_result(self.store.read_part(Part::Config, SAMPLE_TIMEOUT).await?);
-        let group = Part::ServerGroup(salt);
-        let mut sample = self.store.read_part(group, SAMPLE_TIMEOUT).await?;
-        // Until the servers are known, requests wait instead of being refused for want of one.
-        if !self.lock().catalog.revision().is_empty() {
-            return Ok(());
-        }
-        if let Servers::Sample(servers) = &sample.servers
-            && !reader::sample_suffices(self.edge.table().routing(), servers.iter().map(|s| &s.1))
-        {
-            sample = self
-                .store
-                .read_part(Part::FirstServers, SAMPLE_TIMEOUT)
-                .await?;
-        }
-        self.handle_read_result(sample);
-        Ok(())
-    }
-
-    /// Reads the changes after a revision, or a snapshot if `after` is empty, its history is gone or
-    /// it is of an earlier era of the store.
-    async fn read(self: Arc<Self>, after: Revision, limit: Duration) {
-        let mut result = if after.is_empty() {
-            self.store.read_snapshot(limit).await
-        } else {
-            self.store.read_changes(after.number, limit).await
-        };
-        let history_is_gone = match &result {
-            // In another era, the same number stands for another write.
-            Ok(result) => !after.is_empty() && result.revision.era > after.era,
-            Err(e) => matches!(e, ReadError::Compacted),
-        };
-        if history_is_gone {
-            log::info!("event=store_history_gone after={after}");
-            self.edge.metrics.count_read("compacted");
-            result = self.store.read_snapshot(limit).await;
-        }
-        match result {
-            Ok(result) => self.handle_read_result(result),
-            Err(e) => self.record_failed_read(&e),
-        }
-        self.wake.notify_one();
-    }
-
-    fn record_failed_read(&self, e: &ReadError) {
-        let now = self.edge.now();
-        let mut state = self.lock();
-        let first_failure = state.read_schedule.failures() == 0;
-        let age = state.read_schedule.age(now);
-        state.read_schedule.failed(now);
-        self.send_read_attempt(&mut state, ReadAttempt::Failed);
-        drop(state);
-        self.edge.metrics.count_read("failed");
-        if first_failure {
-            let store = self.edge.edge_settings.store;
-            let age = age.unwrap_or_default().as_millis();
-            log::warn!("event=store_lost store={store} last_read_ms={age} cause=\"{e}\"");
-        }
-    }
-
-    fn handle_read_result(self: &Arc<Self>, result: ReadResult) {
-        let now = self.edge.now();
-        let mut state = self.lock();
-        let known = state.catalog.revision();
-        if result.revision.era < known.era {
-            // Sent before the store came back from a copy; a peer's update was faster.
-            let answered = result.revision;
-            state.read_schedule.failed(now);
-            drop(state);
-            self.edge.metrics.count_read("outdated");
-            log::info!("event=store_answer_outdated revision={answered} known={known}");
-            return;
-        }
-        self.edge.metrics.count_read("answered");
-        if state.read_schedule.failures() > 0 {
-            let age = state.read_schedule.age(now).unwrap_or_default().as_millis();
-            log::info!("event=store_regained last_read_ms={age}");
-        }
-        // Also if the era was unknown, as that of revisions from peers of an older format.
-        let restored = !known.is_empty() && result.revision.era > known.era;
-        if restored {
-            state.published_revisions.clear();
-        }
-        if restored && known.era > 0 {
-            let revision = result.revision;
-            log::warn!("event=store_restored revision={revision} before={known}");
-        }
-        if restored || state.read_schedule.is_outage(now) {
-            state.lapse_until = now + LAPSE_WINDOW;
-        }
-        if state.read_schedule.role() == Role::Follower && !result.revision.is_empty() {
-            log::info!("event=reads_store revision={}", result.revision);
-        }
-        let partial = matches!(result.servers, Servers::Sample(_));
-        if !partial {
-            state.read_schedule.succeeded(now);
-        }
-        if result.may_have_more {
-            state.read_schedule.read_now(now);
-        }
-        let lapsed = now < state.lapse_until;
-        let new = match result.servers {
-            Servers::Sample(sample) => {
-                let reported = sample
-                    .into_iter()
-                    .map(|(revision, entry)| RevisionedChange {
-                        revision,
-                        change: Change::Reported(entry),
-                    });
-                apply_to_catalog(&mut state.catalog, now, reported.collect(), lapsed)
-            }
-            Servers::Snapshot(all) => state.catalog.reconcile(now, result.revision, all, lapsed),
-            Servers::Changes(changes) => apply_to_catalog(&mut state.catalog, now, changes, lapsed),
-        };
-        if !partial {
-            state.catalog.set_complete_to(result.revision);
-        }
-        drop(state);
-        if let Some(routing) = result.routing {
-            self.edge.activate(routing, "store");
-        }
-        if !partial || !new.is_empty() {
-            self.apply_changes(&new, "store", Duration::ZERO);
-        }
-        // Peers would pull each part of a long history by itself.
-        if !partial && !result.may_have_more {
-            self.publish();
-        }
-    }
-
     /// Updates the servers after changes of the catalog, and logs the changes.
     fn apply_changes(&self, changes: &[RevisionedChange], source: &str, age: Duration) {
         self.edge.set_registry_known();
@@ -575,25 +418,6 @@
     Pcg32::new(seed, 11).random_range(0.0..1.0)
 }
 
-/// Applies changes to the catalog; returns those that were new to it.
-fn apply_to_catalog(
-    catalog: &mut Catalog,
-    now: Mono,
-    changes: Vec<RevisionedChange>,
-    may_have_lapsed: bool,
-) -> Vec<RevisionedChange> {
-    let mut new = Vec::new();
-    for mut revisioned in changes {
-        if let Change::Removed { lapsed, .. } = &mut revisioned.change {
-            *lapsed = may_have_lapsed;
-        }
-        if catalog.apply(now, revisioned.clone()) {
-            new.push(revisioned);
-        }
-    }
-    new
-}
-
 async fn receive(control: Arc<Control>) {
     let mut buf = vec![0; 2048];
     loop {
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,5 +1,7 @@
 //! State that the tasks of one daemon share: active routes, servers and counters.
 
+mod service_queue;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher as _, DefaultHasher, Hash as _, Hasher as _, RandomState};
 use std::pin::pin;
@@ -8,13 +10,13 @@
 use std::time::{Duration, Instant};
 
 use cuminspread::coordination::catalog::ServerEntry;
+use cuminspread::coordination::decaying_rate::DecayingRate;
 use cuminspread::coordination::placement::{
-    self, AttemptEnd, LoadSlowdown, PlacementContext, PlacementSettings, ProbeRate, ServerLoad,
-    ServerState,
+    self, AttemptEnd, LoadSlowdown, PROBE_RATE_HALF_LIFE, PlacementContext, PlacementSettings,
+    ServerLoad, ServerState,
 };
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::retry::TokenBucket;
-use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket, WaitQueue};
 use cuminspread::coordination::weighted_round_robin::WeightedRoundRobin;
 use cuminspread::state::Name;
 use cuminspread::state::routing::{Route, RouteTable, Routing, RoutingDelta};
@@ -25,6 +27,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
+pub use self::service_queue::ServiceQueue;
 use super::crash::CrashTracker;
 use super::metrics::EdgeMetrics;
 use super::settings::EdgeSettings;
@@ -81,7 +84,7 @@
     slowdown: HashMap<Name, LoadSlowdown>,
     /// Services whose servers answer probes without reporting a load.
     load_unknown: HashSet<Name>,
-    probe_rates: HashMap<Name, ProbeRate>,
+    probe_rates: HashMap<Name, DecayingRate>,
     /// Size of this daemon's subset of the servers of each service.
     subset_sizes: HashMap<Name, usize>,
     /// Number hashed with server ids, so that each daemon has its own subset of the servers.
@@ -91,40 +94,6 @@
     pub rng: Pcg32,
 }
 
-/// Requests that wait for a server of one service, and their wakers.
-#[derive(Debug, Default)]
-pub struct ServiceQueue {
-    /// Order in which the requests are sent.
-    pub order: WaitQueue,
-    /// Earliest time at which the first request probes servers again.
-    pub probe_at: Mono,
-    waiters: HashMap<Ticket, Arc<Notify>>,
-}
-
-impl ServiceQueue {
-    /// Adds a request; it is notified when it may be the first.
-    pub fn push(&mut self, now: Mono, queued: QueuedRequest) -> (Ticket, Arc<Notify>) {
-        let ticket = self.order.push(now, queued);
-        let waiter = Arc::new(Notify::new());
-        self.waiters.insert(ticket, Arc::clone(&waiter));
-        (ticket, waiter)
-    }
-
-    /// Removes a request and wakes the first of the rest.
-    pub fn remove(&mut self, now: Mono, ticket: Ticket, queued: &QueuedRequest) {
-        self.order.remove(ticket, queued);
-        self.waiters.remove(&ticket);
-        self.wake(now);
-    }
-
-    /// Wakes the first request.
-    pub fn wake(&mut self, now: Mono) {
-        if let Some(waiter) = self.order.head(now).and_then(|t| self.waiters.get(&t)) {
-            waiter.notify_one();
-        }
-    }
-}
-
 /// Shared state of one daemon in store mode.
 #[derive(Debug)]
 pub struct Edge {
@@ -599,7 +568,8 @@
     ) -> usize {
         let share = self.probe_share(settings);
         let taken = self.probe_limiter.take(now, wanted, share);
-        let rate = self.probe_rates.entry(service.clone()).or_default();
+        let rate = self.probe_rates.entry(service.clone());
+        let rate = rate.or_insert_with(|| DecayingRate::new(PROBE_RATE_HALF_LIFE));
         rate.record(now, taken);
         taken
     }
