--- a/cuminspread/src/coordination/catalog.rs
+++ b/cuminspread/src/coordination/catalog.rs
@@ -236,8 +236,8 @@
 
     /// Applies a snapshot of the registry as of revision `at`; entries missing in it were removed.
     ///
-    /// `lapsed` tells whether the missing entries may have lapsed in an outage; in the first
-    /// snapshot of an era they count as lapsed. Returns the changes that were new; a snapshot older
+    /// `lapsed` tells whether the missing entries may have lapsed in an outage; those of an earlier
+    /// era count as lapsed. Returns the changes that were new; a snapshot older
     /// than the catalog is ignored.
     pub fn reconcile(
         &mut self,
@@ -249,13 +249,16 @@
         if at < self.revision {
             return Vec::new();
         }
-        let lapsed = lapsed || at.era > self.revision.era;
         let listed: HashSet<&Name> = snapshot.iter().map(|(_, e)| &e.id).collect();
-        let missing: Vec<Name> = self
+        let missing: Vec<(Name, bool)> = self
             .servers
             .iter()
             .filter(|(id, r)| r.revision <= at && r.is_listed() && !listed.contains(id))
-            .map(|(id, _)| id.clone())
+            .map(|(id, r)| {
+                // Revisions of an unknown era come from peers of an older format.
+                let era = r.revision.era;
+                (id.clone(), lapsed || era != 0 && era < at.era)
+            })
             .collect();
         let reported = snapshot
             .into_iter()
@@ -263,7 +266,7 @@
                 revision,
                 change: Change::Reported(entry),
             });
-        let removed = missing.into_iter().map(|id| RevisionedChange {
+        let removed = missing.into_iter().map(|(id, lapsed)| RevisionedChange {
             revision: at,
             change: Change::Removed { id, lapsed },
         });
--- a/cuminspread/tests/catalog.rs
+++ b/cuminspread/tests/catalog.rs
@@ -499,3 +499,44 @@
     let since = catalog.changes_since(first_era(20));
     assert_eq!(since.map(|c| c.len()), Some(0));
 }
+
+#[test]
+fn the_first_snapshot_removes_sampled_servers_that_have_left() {
+    struct Case {
+        what: &'static str,
+        /// Era of the sample, with the server.
+        sample_era: u64,
+        /// Revision of the snapshot, which lacks the server.
+        snapshot: Revision,
+        end: Status,
+    }
+    let cases = [
+        Case {
+            what: "of the same era: the server has left since",
+            sample_era: 1,
+            snapshot: first_era(20),
+            end: Status::Gone,
+        },
+        Case {
+            what: "of a newer era: the copy may lack a live server",
+            sample_era: 1,
+            snapshot: second_era(20),
+            end: Status::Ready { port: 80 },
+        },
+        Case {
+            what: "after a peer of an older format told of the server",
+            sample_era: 0,
+            snapshot: first_era(20),
+            end: Status::Gone,
+        },
+    ];
+    for case in cases {
+        let mut catalog = Catalog::default();
+        // After a restart, a sample comes before the first snapshot.
+        let mut sample = reported(FIRST);
+        sample.revision.era = case.sample_era;
+        catalog.apply(at(0), sample);
+        catalog.reconcile(at(900), case.snapshot, Vec::new(), false);
+        assert_eq!(status(&catalog), case.end, "{}", case.what);
+    }
+}
