--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -352,7 +352,7 @@
 
     /// Restores the store and writes or drops its entries, as far as that is due.
     fn update_store(&mut self, now: Instant) {
-        let is_over = |until: &mut Option<Instant>| until.take_if(|t| now >= *t).is_some();
+        let is_over = |until: &mut Option<Instant>| take_if_over(until, now);
         if is_over(&mut self.restore_at) {
             self.store.restore();
             self.store.set_mode(Mode::Up);
@@ -386,7 +386,7 @@
     pub fn update(&mut self) -> anyhow::Result<()> {
         let now = Instant::now();
         self.update_store(now);
-        let is_over = |until: &mut Option<Instant>| until.take_if(|t| now >= *t).is_some();
+        let is_over = |until: &mut Option<Instant>| take_if_over(until, now);
         for server in &mut self.servers {
             if is_over(&mut server.fault_until) {
                 server.proxy.set_fault(None);
@@ -452,6 +452,11 @@
     }
 }
 
+/// Takes a time that has come; returns whether it has.
+fn take_if_over(until: &mut Option<Instant>, now: Instant) -> bool {
+    until.take_if(|t| now >= *t).is_some()
+}
+
 fn route(name: &'static str, prefix: &'static str, idempotent: bool) -> RouteRow {
     RouteRow {
         name,
--- a/bench/src/fault_soak/store_restore.rs
+++ b/bench/src/fault_soak/store_restore.rs
@@ -1,5 +1,5 @@
-//! Drill: all servers are replaced and the configuration grows, then the store comes back from a copy
-//! from before that.
+//! Drill: all servers are replaced and the configuration grows, then the store comes back from a
+//! copy from before that.
 //!
 //! The copy has none of the live servers, all of those that have left, and an older configuration.
 //! Besides the invariants of all runs, these are checked: routes that were active at all daemons
--- a/cuminspread/src/coordination/catalog.rs
+++ b/cuminspread/src/coordination/catalog.rs
@@ -237,8 +237,8 @@
     /// Applies a snapshot of the registry as of revision `at`; entries missing in it were removed.
     ///
     /// `lapsed` tells whether the missing entries may have lapsed in an outage; those of an earlier
-    /// era count as lapsed. Returns the changes that were new; a snapshot older
-    /// than the catalog is ignored.
+    /// era count as lapsed. Returns the changes that were new; a snapshot older than the catalog is
+    /// ignored.
     pub fn reconcile(
         &mut self,
         now: Mono,
--- a/cuminspread/tests/reader.rs
+++ b/cuminspread/tests/reader.rs
@@ -79,6 +79,15 @@
         }
     }
 
+    /// Runs until a daemon reads the store; returns how long that took.
+    fn until_read(&mut self) -> Duration {
+        let (start, reads) = (self.now, self.reads.len());
+        while self.reads.len() == reads {
+            self.run(STEP);
+        }
+        self.now.since(start)
+    }
+
     fn readers(&self) -> Vec<usize> {
         let schedules = self.schedules.iter().enumerate();
         let reading = schedules.filter(|(i, r)| !self.killed[*i] && r.role() == Role::Reader);
@@ -131,12 +140,7 @@
         }
         let reader = fleet.readers()[0];
         fleet.killed[reader] = true;
-        let before = fleet.reads.len();
-        let killed_at = fleet.now;
-        while fleet.reads.len() == before {
-            fleet.run(STEP);
-        }
-        let gap = fleet.now.since(killed_at);
+        let gap = fleet.until_read();
         assert!(gap < MAX_UPDATE_AGE, "{daemons} daemons: {gap:?}");
         fleet.run(Duration::from_secs(3));
         assert_eq!(fleet.readers().len(), 1, "{daemons} daemons");
@@ -197,12 +201,7 @@
         );
         assert!(fleet.schedules[5].is_outage(fleet.now));
         fleet.store_up = true;
-        let reads = fleet.reads.len();
-        let recovered = fleet.now;
-        while fleet.reads.len() == reads {
-            fleet.run(STEP);
-        }
-        let gap = fleet.now.since(recovered);
+        let gap = fleet.until_read();
         assert!(
             gap < Duration::from_secs(1),
             "{} daemons: {gap:?}",
@@ -221,12 +220,7 @@
             fleet.store_up = false;
             fleet.run(Duration::from_millis(lasted_ms));
             fleet.store_up = true;
-            let reads = fleet.reads.len();
-            let recovered = fleet.now;
-            while fleet.reads.len() == reads {
-                fleet.run(STEP);
-            }
-            let gap = fleet.now.since(recovered);
+            let gap = fleet.until_read();
             assert!(
                 gap < Duration::from_secs(1),
                 "{daemons} daemons, outage of {lasted_ms} ms: {gap:?}"
