Observability: daemons say which version of the configuration they lack

A request that an older configuration refuses can mean that the daemon never heard of the newer one, or that it knows of it and can't get it. The logs showed no difference. A daemon now logs when a peer announces a version that it lacks, with the reader and the age of its read, and when it gives up pulling; the status and the metrics show the newest version known beside the active one. One line for each version and daemon at most, and none where the change came in the announcing datagram.

--- a/cuminspreadd/src/edge/admin.rs
+++ b/cuminspreadd/src/edge/admin.rs
@@ -40,7 +40,10 @@
     pub in_flight: usize,
     /// Version of the active configuration; 0 before the first.
     pub version: u64,
-    /// Time since that version was activated, in milliseconds; `None` before the first.
+    /// Newest version that any daemon is known to have.
+    #[serde(default)]
+    pub known_version: u64,
+    /// Time since the active version was activated, in milliseconds; `None` before the first.
     #[serde(rename = "in_force_ms")]
     pub active_ms: Option<u64>,
     /// Active routes.
@@ -162,6 +165,7 @@
     let gauges = &edge.metrics.gauges;
     gauges.in_flight.set(edge.in_flight() as i64);
     gauges.version.set(edge.version());
+    gauges.known_version.set(synced.known_version);
     gauges.era.set(synced.revision.era);
     gauges.revision.set(synced.revision.number);
     gauges.daemons.set(synced.daemons as i64);
@@ -221,6 +225,7 @@
         stopping: edge.is_stopping(),
         in_flight: edge.in_flight(),
         version: table.routing().version,
+        known_version: synced.known_version,
         active_ms: edge.active_for().map(|age| age.as_millis() as u64),
         routes: table.routing().routes.len(),
         era: synced.revision.era,
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -210,6 +210,7 @@
             peers: state.mesh.peers(now),
             reader: state.last_read.as_ref().map(|(reader, _)| reader.address),
             daemons: state.mesh.size(),
+            known_version: state.wanted.version.max(self.edge.version()),
             revision: state.catalog.revision(),
             reads_store: state.read_schedule.role() == Role::Reader,
             store_age: state.read_schedule.age(now),
@@ -399,6 +400,8 @@
     pub reader: Option<SocketAddr>,
     /// Daemons heard recently, this one included.
     pub daemons: usize,
+    /// Newest version of the configuration that any daemon is known to have.
+    pub known_version: u64,
     /// Revision of the registry.
     pub revision: Revision,
     /// Whether this daemon reads the store and sends the changes to its peers.
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -232,6 +232,16 @@
     fn start_pull(self: &Arc<Self>, wanted: Versions) {
         {
             let mut state = self.lock();
+            let (active, announced) = (self.edge.version(), wanted.version);
+            if announced > active.max(state.wanted.version)
+                && let Some((reader, at)) = &state.last_read
+            {
+                let (reader, age) = (reader.address, self.edge.now().since(*at).as_millis());
+                log::info!(
+                    "event=version_announced version={announced} active={active} \
+                     reader={reader} age_ms={age}"
+                );
+            }
             state.wanted = state.wanted.max(wanted);
         }
         if !self.pulling.swap(true, Ordering::AcqRel) {
@@ -281,7 +291,18 @@
             }
             // Under the lock, so that a later wish starts a pull of its own.
             let mut state = self.lock();
-            if reached.covers(&state.wanted) || i == MAX_PULL_ATTEMPTS {
+            let complete = reached.covers(&state.wanted);
+            if complete || i == MAX_PULL_ATTEMPTS {
+                if !complete {
+                    log::warn!(
+                        "event=pull_given_up attempts={i} version={} wanted_version={} \
+                         revision={} wanted_revision={}",
+                        reached.version,
+                        state.wanted.version,
+                        reached.revision,
+                        state.wanted.revision,
+                    );
+                }
                 state.wanted = reached;
                 self.pulling.store(false, Ordering::Release);
                 break;
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -60,6 +60,8 @@
     pub in_flight: Gauge,
     /// Version of the active configuration.
     pub version: Gauge<u64, AtomicU64>,
+    /// Newest version that any daemon is known to have.
+    pub known_version: Gauge<u64, AtomicU64>,
     /// Era of the store.
     pub era: Gauge<u64, AtomicU64>,
     /// Revision of the registry in that era.
@@ -103,6 +105,11 @@
             gauges.in_flight.clone(),
         );
         r.register("config_version", "Version in force", gauges.version.clone());
+        r.register(
+            "config_known_version",
+            "Newest version that any daemon is known to have",
+            gauges.known_version.clone(),
+        );
         r.register(
             "registry_era",
             "Times that the store came back from an older copy, plus its first era",
