--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -12,6 +12,8 @@
 mod placement;
 #[path = "edge/program.rs"]
 mod program;
+#[path = "edge/reader_loss.rs"]
+mod reader_loss;
 #[path = "edge/responses.rs"]
 mod responses;
 #[path = "edge/restore.rs"]
--- /dev/null
+++ b/cuminspreadd/tests/edge/reader_loss.rs
@@ -0,0 +1,137 @@
+//! The daemon that read a configuration is lost before any peer has pulled it.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cuminspread::coordination::catalog::Revision;
+use cuminspread::protocol::gossip::{Daemon, GossipMessage, StoreUpdate, Versions};
+use cuminspread::state::Name;
+use cuminspread::transport::gossip::Gossip;
+use cuminspread_platform::standin::store::{RouteRow, config_text};
+use cuminspreadd::edge::admin::Status;
+use cuminspreadd::edge::run::EdgeDaemon;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::caller;
+use crate::fixture::{Fixture, UPDATE_BOUND, start_fleet, wait_for};
+
+/// Time between two reads of a reader.
+const READ_INTERVAL: Duration = Duration::from_millis(600);
+
+async fn status(daemon: &EdgeDaemon) -> Status {
+    let text = "GET /status HTTP/1.1\r\nhost: vm\r\n\r\n";
+    let res = caller::send(daemon.admin(), text).await;
+    serde_json::from_slice(&res.body).expect("a status")
+}
+
+/// What becomes of the reader after its last update.
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    /// Its process ends: its port refuses connections.
+    Killed,
+    /// Its VM is lost: pulls get no answer.
+    Dark,
+}
+
+/// Sockets of a reader that sends updates and answers no pull.
+enum Reader {
+    Killed(UdpSocket, SocketAddr),
+    Dark(Gossip),
+}
+
+impl Reader {
+    async fn start(loss: Loss) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        match loss {
+            Loss::Killed => {
+                let socket = UdpSocket::bind(any).await.unwrap();
+                let address = socket.local_addr().unwrap();
+                Self::Killed(socket, address)
+            }
+            Loss::Dark => Self::Dark(Gossip::bind(any).await.unwrap()),
+        }
+    }
+
+    /// Sends the versions that it has read, and no changes.
+    async fn announce(&self, fleet: &[EdgeDaemon], base: Revision, versions: Versions) {
+        let address = match self {
+            Self::Killed(_, address) => *address,
+            Self::Dark(gossip) => gossip.local_addr().unwrap(),
+        };
+        let update = GossipMessage::StoreUpdate(Box::new(StoreUpdate {
+            reader: Daemon {
+                address,
+                data_centre: Name::new("here"),
+                started_ms: 1,
+                // The other daemons leave reading to the largest.
+                capacity: u16::MAX,
+            },
+            age: Duration::ZERO,
+            versions,
+            base,
+            changes: Vec::new(),
+            routing: None,
+            can_serve: true,
+            relay: false,
+        }));
+        for daemon in fleet {
+            match self {
+                Self::Killed(socket, _) => {
+                    let bytes = cuminspread::protocol::gossip::encode(&update).unwrap();
+                    socket.send_to(&bytes, daemon.peer()).await.unwrap();
+                }
+                Self::Dark(gossip) => assert!(gossip.send(daemon.peer(), &update)),
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_configuration_that_only_a_lost_reader_had_is_read_again() {
+    for loss in [Loss::Killed, Loss::Dark] {
+        let fixture = Fixture::new(1, RouteRow::default()).await;
+        let fleet = start_fleet(&fixture, 3).await;
+        let reader = Reader::start(loss).await;
+        let known = status(&fleet[0]).await;
+        let base = Revision {
+            era: known.era,
+            number: known.revision,
+        };
+        let version = known.version;
+        let before = Versions {
+            revision: base,
+            version,
+        };
+        for _ in 0..3 {
+            reader.announce(&fleet, base, before).await;
+            sleep(READ_INTERVAL / 2).await;
+        }
+        let began = Instant::now();
+        let config = config_text(version + 4, &[RouteRow::default()], 15.0);
+        fixture.store.put_config(config);
+        reader.announce(&fleet, base, before).await;
+        sleep(READ_INTERVAL).await;
+        let after = Versions {
+            revision: Revision {
+                number: base.number + 1,
+                ..base
+            },
+            version: version + 4,
+        };
+        reader.announce(&fleet, base, after).await;
+        wait_for("the configuration", async || {
+            let mut all_active = true;
+            for daemon in &fleet {
+                all_active &= status(daemon).await.version == version + 4;
+            }
+            all_active
+        })
+        .await;
+        let took = began.elapsed();
+        assert!(took < UPDATE_BOUND, "{loss:?}: {took:?}");
+        for daemon in fleet {
+            daemon.kill();
+        }
+    }
+}
