control: a revision counts as known only with its configuration

Callers got 404 for a route that the store had acknowledged long before.

Cause: a daemon that heard of an update marked its registry as complete up to the update's revision, also while it still had to pull the configuration of that revision. If the reader was lost before anyone had pulled it, every later read of the store began after that revision and never returned the configuration. The class of fault: a position in a log that is advanced by one of two consumers for both. The same step stood in the response to a pull (a delta that no longer applied) and in the result of a read (the revision was set before the configuration was activated, so that a peer could pull one without the other).

Change: the revision advances only with the configuration, so the next read begins before it. A follower that can't pull an update from the reader reads within 0.2 s instead of waiting for the usual takeover, which would end 2.3 s after a change that was read 0.6 s late; a peer that accepts no connection is given up after 0.3 s instead of 0.8 s.

Ruled out: lost datagrams alone (versions are repeated with each read), and a takeover that comes too late (the daemons did read, but after the change).

Takeover by few is held by a_reader_that_cannot_be_reached_is_replaced_soon (312 daemons, 12 that notice: at most 6 calls).

--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -37,6 +37,8 @@
     pub takeover_after: Duration,
     /// Longest random time added to `takeover_after`.
     pub takeover_jitter: Duration,
+    /// Longest random time until a follower reads that can't pull an update from the reader.
+    pub unreachable_delay: Duration,
     /// Pause of the reader after a failed read; it doubles with each failure in a row.
     pub retry_delay: Duration,
     /// Longest pause of the reader after failed reads.
@@ -69,6 +71,7 @@
             interval: Duration::from_millis(600),
             takeover_after: Duration::from_millis(1300),
             takeover_jitter: Duration::from_millis(400),
+            unreachable_delay: Duration::from_millis(200),
             retry_delay: Duration::from_millis(100),
             max_retry_delay: Duration::from_millis(1600),
             follower_retry_delay: Duration::from_millis(20),
@@ -333,6 +336,21 @@
         self.failed_peers.clear();
     }
 
+    /// Records that the reader has announced an update and can't be reached for it.
+    ///
+    /// Only a few daemons pull from the reader itself, and those that learn in time of another's
+    /// read wait for its result.
+    ///
+    /// Load pattern: the reader is lost right after it has announced an update that doesn't fit a
+    /// datagram.
+    pub fn reader_unreachable(&mut self, now: Mono) {
+        if self.role == Role::Reader || self.reading || self.hold_state != HoldState::Unused {
+            return;
+        }
+        let delay = self.jitter(self.settings.unreachable_delay);
+        self.next_read = self.next_read.min(now + delay);
+    }
+
     /// Makes a read due now: after a pause of the process, when its data may be old, or when a read
     /// returned only a part of the changes.
     pub fn read_now(&mut self, now: Mono) {
--- a/cuminspread/src/transport/gossip.rs
+++ b/cuminspread/src/transport/gossip.rs
@@ -21,6 +21,8 @@
 /// Longest time for a pull, on either side; enough for a 10 Mbit/s link, as a snapshot is below
 /// 100 KB.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time until a peer accepts a connection; a lost VM doesn't refuse it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest request or response; enough for a snapshot of 10,000 routes and 5,000 servers.
 const MAX_PULL_BYTES: usize = 4 << 20;
 
@@ -148,7 +150,7 @@
     /// Fails if the peer can't be reached or sends no valid response in time.
     pub async fn pull(&self, from: SocketAddr, req: PullRequest) -> io::Result<PullResponse> {
         let pull = async {
-            let mut stream = TcpStream::connect(from).await?;
+            let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(from)).await??;
             self.write(&mut stream, &encode(&req)?).await?;
             self.read(&mut stream).await
         };
--- a/cuminspread/tests/takeover.rs
+++ b/cuminspread/tests/takeover.rs
@@ -176,6 +176,49 @@
     }
 }
 
+#[test]
+fn a_reader_that_cannot_be_reached_is_replaced_soon() {
+    struct Case {
+        daemons: usize,
+        /// Daemons that pull from the reader itself.
+        pulling: usize,
+        max_calls: usize,
+    }
+    let cases = [
+        Case {
+            daemons: 18,
+            pulling: 5,
+            max_calls: 5,
+        },
+        Case {
+            daemons: 312,
+            pulling: 12,
+            max_calls: 6,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(case.daemons);
+        fleet.until_success();
+        fleet.killed[0] = true;
+        fleet.run(Duration::from_millis(300));
+        let before = fleet.calls;
+        for schedule in fleet.schedules.iter_mut().rev().take(case.pulling) {
+            schedule.reader_unreachable(fleet.now);
+        }
+        let gap = fleet.until_success();
+        let bound = Duration::from_millis(300);
+        assert!(gap < bound, "{} daemons: {gap:?}", case.daemons);
+        fleet.run(Duration::from_secs(1));
+        // The new reader reads once more in this second.
+        let calls = fleet.calls - before - 1;
+        assert!(
+            calls <= case.max_calls,
+            "{} daemons: {calls} calls",
+            case.daemons
+        );
+    }
+}
+
 #[test]
 fn an_outage_costs_a_large_fleet_as_little_as_a_small_one() {
     struct Case {
--- a/cuminspreadd/src/edge/control/store.rs
+++ b/cuminspreadd/src/edge/control/store.rs
@@ -141,6 +141,10 @@
             state.read_schedule.read_now(now);
         }
         let lapsed = now < state.lapse_until;
+        // Before the revision, so that no peer gets a revision without its configuration.
+        if let Some(routing) = result.routing {
+            self.edge.activate(routing, "store");
+        }
         let new = match result.servers {
             Servers::Sample(sample) => {
                 let reported = sample
@@ -158,9 +162,6 @@
             state.catalog.set_complete_to(result.revision);
         }
         drop(state);
-        if let Some(routing) = result.routing {
-            self.edge.activate(routing, "store");
-        }
         if !partial || !new.is_empty() {
             self.apply_changes(&new, "store", Duration::ZERO);
         }
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -185,13 +185,17 @@
                     new.push(revisioned.clone());
                 }
             }
-            state.catalog.set_complete_to(update.versions.revision);
         }
         if let Some(delta) = update.routing.clone() {
             self.edge.activate_delta(delta, "peer");
         }
-        let behind = !is_contiguous && update.versions.revision > revision
-            || update.versions.version > self.edge.version();
+        let lacks_routing = update.versions.version > self.edge.version();
+        // A revision counts as known only with its configuration: if nobody can serve that, the
+        // next read of the store returns it.
+        if is_contiguous && !lacks_routing {
+            state.catalog.set_complete_to(update.versions.revision);
+        }
+        let behind = !is_contiguous && update.versions.revision > revision || lacks_routing;
         let near = if update.relay {
             state.mesh.near_peers()
         } else {
@@ -282,7 +286,10 @@
             if let Some(peer) = peer {
                 match self.gossip.pull(peer, self.pull_request(have)).await {
                     Ok(response) => self.handle_response(peer, response),
-                    Err(e) => log::info!("event=pull_failed peer={peer} cause=\"{e}\""),
+                    Err(e) => {
+                        log::info!("event=pull_failed peer={peer} cause=\"{e}\"");
+                        self.record_failed_pull(peer);
+                    }
                 }
             }
             let reached = self.versions(&self.lock());
@@ -310,6 +317,22 @@
         }
     }
 
+    /// If the peer is the reader, it may be lost with what only it has read.
+    fn record_failed_pull(&self, peer: SocketAddr) {
+        let now = self.edge.now();
+        let mut state = self.lock();
+        let is_reader = state
+            .last_read
+            .as_ref()
+            .is_some_and(|(r, _)| r.address == peer);
+        if !is_reader || self.versions(&state).covers(&state.wanted) {
+            return;
+        }
+        state.read_schedule.reader_unreachable(now);
+        drop(state);
+        self.wake.notify_one();
+    }
+
     /// Notifies a few near peers of the versions that this daemon has now.
     fn announce_versions(&self) {
         let now = self.edge.now();
@@ -338,17 +361,25 @@
         if response.busy {
             return;
         }
-        match response.routing {
+        let version = match response.routing {
             Some(RoutingUpdate::Full(routing)) => {
+                let version = routing.version;
                 self.edge.activate(routing, "peer");
+                version
             }
             Some(RoutingUpdate::Delta(delta)) => {
+                let version = delta.version;
                 self.edge.activate_delta(delta, "peer");
+                version
             }
-            None => {}
-        }
+            None => 0,
+        };
         let mut state = self.lock();
         state.mesh.merge_known(now, &response.peers);
+        if version > self.edge.version() {
+            // Another version was activated during the pull, so the delta didn't apply.
+            return;
+        }
         let mut new = Vec::new();
         match response.registry {
             Some(RegistryUpdate::Snapshot(entries)) => {
