control: a pull isn't repeated at a peer that did not answer it

Callers of the daemons that pulled from a lost reader were refused 0.2 s beyond the bound, although another daemon had the configuration by then.

Cause: after a failed pull the next peer is drawn among the largest, and the reader usually is the largest. Those daemons waited for it twice, 0.8 s each, and didn't listen to the new reader meanwhile.

Ruled out: a late takeover. The new reader had read 1.4 to 1.6 s after the change.

Change: a peer that failed is left out for the rest of this pull; once all have failed, all count again. A peer that announces an update is asked in any case.

--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -216,11 +216,13 @@
         (!near.is_empty()).then(|| near[self.rng.random_range(0..near.len())])
     }
 
-    /// Random near peer to pull updates from; two times in three it is one of the largest.
-    pub fn pull_peer(&mut self) -> Option<SocketAddr> {
+    /// Random near peer to pull updates from, but none of `unreachable`; two times in three it is
+    /// one of the largest.
+    pub fn pull_peer(&mut self, unreachable: &[SocketAddr]) -> Option<SocketAddr> {
         let near = &self.me.data_centre;
         let peers = self.peers.values();
         let near = peers.filter(|p| p.daemon.data_centre == *near);
+        let near = near.filter(|p| !unreachable.contains(&p.daemon.address));
         let mut near: Vec<&Daemon> = near.map(|p| &p.daemon).collect();
         near.sort_by_key(|d| d.rank());
         let largest = near.first()?.capacity;
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -262,6 +262,7 @@
     /// from serving any of them.
     async fn pull(self: Arc<Self>) {
         let mut delay = FIRST_PULL_DELAY;
+        let mut unreachable = Vec::new();
         for i in 1..=MAX_PULL_ATTEMPTS {
             if self.lock().newer_peer.is_none() {
                 let jitter = random_fraction(self.edge.now().0 ^ self.edge.started_ms);
@@ -275,20 +276,25 @@
                 let mut state = self.lock();
                 let have = self.versions(&state);
                 let reader = state.last_read.as_ref().map(|(reader, _)| reader.address);
+                let reader = reader.filter(|r| !unreachable.contains(r));
                 let last_resort = reader.filter(|_| i % READER_PULL_PERIOD == 0);
                 let peer = state
                     .newer_peer
                     .take()
                     .or(last_resort)
-                    .or_else(|| state.mesh.pull_peer());
+                    .or_else(|| state.mesh.pull_peer(&unreachable));
                 (peer.or(reader), have)
             };
+            if peer.is_none() {
+                unreachable.clear();
+            }
             if let Some(peer) = peer {
                 match self.gossip.pull(peer, self.pull_request(have)).await {
                     Ok(response) => self.handle_response(peer, response),
                     Err(e) => {
                         log::info!("event=pull_failed peer={peer} cause=\"{e}\"");
                         self.record_failed_pull(peer);
+                        unreachable.push(peer);
                     }
                 }
             }
