reader: the long pauses of an outage end with it

A daemon that is cut off from its peers soon after an outage of the store, but reaches the store, kept its routes and servers for up to 25 s (124 daemons).

Cause: during an outage followers pause in proportion to the fleet. A peer's successful read only ever delayed the next read, so a pause of 20 s stayed when the outage was over, and nothing else made the daemon read.

Ruled out: the takeover time itself; without an outage before it a partitioned daemon reads within 1.7 s.

Change: a peer's latest read sets the next one to the usual takeover time.

Before: the new test fails at 124 daemons after 2 s. After: all of 18, 124 and 312 partitioned daemons read within 2 s; the tests of the cost of an outage pass.

--- a/cuminspread/src/coordination/reader.rs
+++ b/cuminspread/src/coordination/reader.rs
@@ -274,7 +274,8 @@
             return;
         }
         let read = now - age;
-        if self.last_read.is_none_or(|last| read > last) {
+        let is_latest = self.last_read.is_none_or(|last| read > last);
+        if is_latest {
             self.last_read = Some(read);
         }
         let fresh = age < self.settings.takeover_after;
@@ -286,7 +287,12 @@
         self.record_success();
         self.superseded |= rank < self.rank;
         let next = read + self.settings.takeover_after + self.takeover_delay();
-        self.next_read = self.next_read.max(next);
+        // The long pauses of an outage end with it.
+        self.next_read = if is_latest {
+            next
+        } else {
+            self.next_read.max(next)
+        };
     }
 
     /// Records a read of another daemon that has not succeeded, or not yet.
--- a/cuminspread/tests/reader.rs
+++ b/cuminspread/tests/reader.rs
@@ -169,6 +169,27 @@
     assert!(own_reads.count() > 0);
 }
 
+#[test]
+fn a_daemon_partitioned_after_an_outage_reads_itself() {
+    for daemons in [18, 124, 312] {
+        let mut fleet = Fleet::new(daemons);
+        fleet.run(Duration::from_secs(5));
+        fleet.store_up = false;
+        fleet.run(Duration::from_secs(8));
+        fleet.store_up = true;
+        fleet.until_read();
+        fleet.run(STEP);
+        fleet.partitioned.fill(true);
+        let start = fleet.now;
+        fleet.run(MAX_UPDATE_AGE);
+        for i in 0..daemons {
+            let reads = fleet.reads.iter();
+            let own_reads = reads.filter(|(at, daemon)| *at >= start && *daemon == i);
+            assert!(own_reads.count() > 0, "daemon {i} of {daemons}");
+        }
+    }
+}
+
 #[test]
 fn an_outage_costs_few_calls_and_its_end_is_found_fast() {
     struct Outage {
