Observability: daemons know and log the limits that servers name

The logs of second1 couldn't tell a limit that no daemon reads from one that each daemon keeps for itself. Server-Limit is decoded once, from responses to requests and to probes, into a type of the library; a value that isn't a finite rate of 0 or more, or two that differ, name none, logged once for each incarnation. A daemon logs when a limit begins, changes by a tenth, or ends; /status shows it at the server and the metrics count limited servers. A limit belongs to an incarnation and ends with the first signed answer without it to a request that was sent after the last answer with it. Nothing is decided by it yet.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -30,6 +30,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod server;
+pub mod server_limit;
 pub mod spread;
 pub mod store_read;
 pub mod wait_queue;
--- a/cuminspreadd/src/edge/admin.rs
+++ b/cuminspreadd/src/edge/admin.rs
@@ -11,6 +11,7 @@
 
 use std::sync::Arc;
 
+use cuminspread::coordination::server_limit::ServerLimit;
 use cuminspread_platform::headers::READY_PATH;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -109,6 +110,10 @@
     pub report_age_ms: Option<u64>,
     /// Open connections of this daemon.
     pub connections: u32,
+    /// Requests a second that the server takes from all daemons together; `None` if it names no
+    /// limit.
+    #[serde(default)]
+    pub limit_per_s: Option<f32>,
 }
 
 /// Serves the admin listener until the task is aborted.
@@ -178,6 +183,7 @@
         .map(|s| s.upstream.opened_total())
         .sum();
     gauges.connections.set(opened);
+    gauges.limited.set(edge.servers().limited() as i64);
     match edge.metrics.write() {
         Ok(text) => text.into_response(),
         Err(e) => {
@@ -208,6 +214,7 @@
             .report()
             .map(|(at, _)| now.since(at).as_millis() as u64),
         connections: s.upstream.open_count(),
+        limit_per_s: s.limit.as_ref().map(ServerLimit::rate),
     });
     let mut servers: Vec<ServerStatus> = servers.collect();
     let peers = synced.peers.into_iter().map(|(daemon, age)| PeerStatus {
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -25,7 +25,7 @@
 use super::crash;
 use super::placement::{Target, place};
 use super::request::{InboundRequest, Reply};
-use super::state::{Edge, MOVED_SERVER_PAUSE, ServerKey};
+use super::state::{Edge, LimitSource, MOVED_SERVER_PAUSE, ServerKey};
 
 /// Attempts of one request, including those that are proven not to have run, which the route's
 /// `max_attempts` doesn't count.
@@ -306,7 +306,7 @@
         AttemptResult::Buffered(head, body, fields) => {
             let failed = head.status.is_server_error();
             attempt.edge.crash_tracker().clear(&attempt.req.outbound);
-            record_load(attempt, &fields);
+            record_state(attempt, &fields);
             attempt.record_end(AttemptEnd::Answered { failed });
             let reply = Reply::Buffered(head, body);
             if failed && idempotent {
@@ -319,7 +319,7 @@
             NextStep::Reply(reply)
         }
         AttemptResult::Streaming(head, body, exchange, fields) => {
-            record_load(attempt, &fields);
+            record_state(attempt, &fields);
             attempt.record_end(AttemptEnd::Answered {
                 failed: head.status.is_server_error(),
             });
@@ -333,7 +333,7 @@
                 {
                     server.moved_until = attempt.edge.now() + MOVED_SERVER_PAUSE;
                 }
-                record_load(attempt, fields);
+                record_state(attempt, fields);
                 attempt.record_end(AttemptEnd::Refused);
             } else {
                 attempt.record_end(AttemptEnd::NoAnswer);
@@ -364,13 +364,21 @@
     }
 }
 
-fn record_load(attempt: &Attempt<'_>, fields: &ResponseFields) {
+/// Records what a response says of its server: its load and its limit.
+fn record_state(attempt: &Attempt<'_>, fields: &ResponseFields) {
+    let now = attempt.edge.now();
+    let key = attempt.target.key;
+    let mut servers = attempt.edge.servers();
     if let Some(load) = fields.load {
-        let now = attempt.edge.now();
-        attempt
-            .edge
-            .servers()
-            .record_load(now, attempt.target.key, load, None);
+        servers.record_load(now, key, load, None);
+    }
+    // Another server has answered.
+    if !fields.misdirected {
+        let source = LimitSource::Request {
+            sent_at: attempt.sent_at,
+            signed: fields.signed,
+        };
+        servers.record_limit(now, key, fields.limit, source);
     }
 }
 
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -76,6 +76,8 @@
     pub lines_dropped: Gauge<u64, AtomicU64>,
     /// Connections opened to the present servers.
     pub connections: Gauge<u64, AtomicU64>,
+    /// Servers that name a limit on their requests.
+    pub limited: Gauge,
 }
 
 impl EdgeMetrics {
@@ -141,6 +143,11 @@
             "Connections opened",
             gauges.connections.clone(),
         );
+        r.register(
+            "servers_limited",
+            "Servers that name a limit on their requests",
+            gauges.limited.clone(),
+        );
         Self {
             registry,
             requests,
--- a/cuminspreadd/src/edge/probe.rs
+++ b/cuminspreadd/src/edge/probe.rs
@@ -16,7 +16,7 @@
 use http::header::HOST;
 use http_body_util::Full;
 
-use super::state::{Edge, MOVED_SERVER_PAUSE, ServerKey};
+use super::state::{Edge, LimitSource, MOVED_SERVER_PAUSE, ServerKey};
 
 /// Longest time for a response; servers answer at once, and far ones are 10 ms away.
 const TIMEOUT: Duration = Duration::from_millis(250);
@@ -53,6 +53,7 @@
             if let Some(load) = health.load {
                 servers.record_load(now, key, load, Some(health.healthy));
             }
+            servers.record_limit(now, key, health.limit, LimitSource::Probe);
             edge.metrics.count_probe("answered");
             return ProbeResult::Answered;
         }
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of one daemon share: active routes, servers and counters.
 
+mod server_limits;
 mod service_queue;
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -17,6 +18,7 @@
 };
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::retry::TokenBucket;
+use cuminspread::coordination::server_limit::ServerLimit;
 use cuminspread::coordination::weighted_round_robin::WeightedRoundRobin;
 use cuminspread::state::Name;
 use cuminspread::state::routing::{Route, RouteTable, Routing, RoutingDelta};
@@ -27,6 +29,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
+pub use self::server_limits::LimitSource;
 pub use self::service_queue::ServiceQueue;
 use super::crash::CrashTracker;
 use super::metrics::EdgeMetrics;
@@ -66,6 +69,10 @@
     pub probed_since: Option<Mono>,
     /// Time until which the server gets no requests, since another server answered at its address.
     pub moved_until: Mono,
+    /// Limit that the server names; `None` if it names none.
+    pub limit: Option<ServerLimit>,
+    /// A response named a limit that can't be read.
+    limit_malformed: bool,
 }
 
 /// Servers, and statistics of services and routes.
@@ -370,6 +377,8 @@
             upstream: Arc::new(upstream),
             probed_since: None,
             moved_until: Mono::default(),
+            limit: None,
+            limit_malformed: false,
         };
         self.servers.insert(key, server);
         self.keys.insert(entry.id.clone(), key);
