--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -18,6 +18,8 @@
 mod responses;
 #[path = "edge/restore.rs"]
 mod restore;
+#[path = "edge/server_limit.rs"]
+mod server_limit;
 #[path = "edge/stop.rs"]
 mod stop;
 #[path = "edge/sync.rs"]
