server_limit: a few holders keep a server's limit for the whole fleet

What callers and servers saw: a server in need that named 3.2 requests a second got 37 in 4 s from daemons that it had told.

The class of fault: a limit that all daemons share and none can count alone; each daemon for itself, or equal parts for each, would break it too, as the fleet is larger than the limit.

Ruled out, by the record: repeats (35 of the 40 arrivals are first sends), and disturbed daemons (none before 14 s). Weighed: equal parts (312 daemons at 3.2 a second: one request in 98 s each, and up to 312 at the same time), and parts by need as in the probe limiter (needs reports of all daemons for each server).

Change: the daemons find the same few holders of a server's rate by rendezvous hashing, two and one for each request a second, those of the server's data centre first. A holder sends at an even pace, and the rest leave the server out: not probed, not chosen, also for retries and hedges, since all go through one reservation. Limited servers take what no other near server takes well; if all are limited, requests wait for a holder's turn or are refused at once with reason 'limited'. Holders report begin, change and end to their peers, so that a daemon that doesn't send learns of the end; without a report a daemon tests the limit after 30 s. Daemons lost without notice count as part of the fleet for ten minutes, so that two partitions don't use the limit twice.

--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -26,6 +26,8 @@
 const AGE_UNIT: Duration = Duration::from_millis(100);
 /// One in this many hellos goes to any peer, the rest to near peers.
 const ANY_PEER_HELLO_EVERY: u32 = 8;
+/// Time for which a daemon that was lost counts in [`Mesh::known_fraction`].
+const FLEET_MEMORY: Duration = Duration::from_secs(600);
 /// One in this many hellos goes to a seed, so that separated groups of daemons find each other.
 const SEED_HELLO_EVERY: u32 = 16;
 
@@ -77,6 +79,8 @@
     peers: BTreeMap<SocketAddr, Peer>,
     rng: Pcg32,
     next_hello: Mono,
+    /// Largest recent number of daemons, without those that have left, and when it was reached.
+    largest_size: (usize, Mono),
 }
 
 impl Mesh {
@@ -89,6 +93,7 @@
             peers: BTreeMap::new(),
             rng: Pcg32::new(seed, 7),
             next_hello: Mono::default(),
+            largest_size: (1, Mono::default()),
         };
         this.set_seeds(seeds);
         this
@@ -110,6 +115,23 @@
         1 + self.peers.len()
     }
 
+    /// All known peers.
+    pub fn daemons(&self) -> impl Iterator<Item = &Daemon> {
+        self.peers.values().map(|p| &p.daemon)
+    }
+
+    /// Known part of the fleet, above 0 and up to 1: daemons that were lost without notice in the
+    /// last ten minutes may run on in another partition.
+    pub fn known_fraction(&mut self, now: Mono) -> f32 {
+        let size = self.size();
+        let (largest, at) = self.largest_size;
+        if size >= largest || now.since(at) >= FLEET_MEMORY {
+            self.largest_size = (size, now);
+            return 1.0;
+        }
+        size as f32 / largest as f32
+    }
+
     /// Records a message from a daemon; returns whether the daemon is new.
     pub fn record_heard(&mut self, now: Mono, daemon: &Daemon) -> bool {
         self.record(daemon, now)
@@ -132,6 +154,7 @@
         let known = self.peers.get(&daemon.address);
         if known.is_some_and(|p| p.daemon.started_ms <= daemon.started_ms) {
             self.peers.remove(&daemon.address);
+            self.largest_size.0 = self.largest_size.0.saturating_sub(1).max(1);
         }
     }
 
@@ -283,6 +306,9 @@
             last_heard: at,
         };
         self.peers.insert(daemon.address, peer);
+        if self.size() >= self.largest_size.0 {
+            self.largest_size = (self.size(), at);
+        }
         true
     }
 }
--- a/cuminspread/src/coordination/placement.rs
+++ b/cuminspread/src/coordination/placement.rs
@@ -48,6 +48,17 @@
     pub far_unprobed: usize,
     /// Time since the placement began; `near_wait` if there are no near servers to wait for.
     pub waited: Duration,
+    /// A server that names a limit and takes a request of this daemon now.
+    pub limited: Option<LimitedServer>,
+}
+
+/// A server that names a limit on its requests, and is in need.
+#[derive(Debug, Clone, Copy)]
+pub struct LimitedServer {
+    /// Index of the candidate.
+    pub index: usize,
+    /// It is asked first, since its limit may have ended.
+    pub needs_confirmation: bool,
 }
 
 /// Picks up to `count` servers to probe, in descending order of score plus noise.
@@ -87,12 +98,20 @@
 }
 
 /// Decides the next step from the state of the probed servers.
+///
+/// A server that names a limit takes what no other near server takes well; it isn't probed, as
+/// probes are requests to it.
 pub fn decide<'a>(
     probed: impl Iterator<Item = (usize, &'a ServerState)>,
     cx: &PlacementContext,
     progress: Progress,
     settings: &PlacementSettings,
 ) -> Step {
+    if let Some(limited) = progress.limited
+        && limited.needs_confirmation
+    {
+        return Step::Send(limited.index);
+    }
     let scored = probed.map(|(i, s)| (s.score(cx, settings), i));
     let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
     // After `near_wait` a far server is accepted as readily as a near one.
@@ -110,6 +129,9 @@
     if progress.near_unprobed > 0 {
         return Step::ProbeNear;
     }
+    if let Some(limited) = progress.limited {
+        return Step::Send(limited.index);
+    }
     // While the target can still be met, waiting is better than a bad choice: a server may get
     // faster or free a slot.
     let needed = cx.processing_time.mul_f32(1.3) + settings.pause;
--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -17,6 +17,8 @@
 const CONFIGURATION_DELAY: Duration = Duration::from_millis(200);
 /// Time until a service without servers may have one again: one reporting interval of a server.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(600);
+/// Time until another daemon, which a retry reaches, may send to one of the limited servers again.
+const LIMITED_DELAY: Duration = Duration::from_millis(500);
 
 /// Why a request can't be served now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +29,8 @@
     NoServer,
     /// No server will have a free slot in time.
     NoRoom,
+    /// All servers name limits that leave no request to this daemon in time.
+    Limited,
     /// The daemon is about to stop; another daemon can take the request at once.
     Stopping,
     /// Requests like this one crash the servers that run them.
@@ -40,6 +44,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoServer => "no_server",
             Self::NoRoom => "no_room",
+            Self::Limited => "limited",
             Self::Stopping => "stopping",
             Self::Crashing => "crashing",
         }
@@ -55,6 +60,7 @@
         RefusalReason::NoServer => REGISTRATION_DELAY,
         // On average half of the running requests end within half the processing time.
         RefusalReason::NoRoom => processing_time / 2,
+        RefusalReason::Limited => LIMITED_DELAY,
         RefusalReason::Stopping => MIN_DELAY,
         RefusalReason::Crashing => MAX_DELAY,
     };
--- a/cuminspread/src/protocol/gossip.rs
+++ b/cuminspread/src/protocol/gossip.rs
@@ -25,7 +25,7 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
 /// Format of the messages that this daemon sends.
-pub const FORMAT: u8 = 2;
+pub const FORMAT: u8 = 3;
 
 /// What follows a message; only fields at the end may be added.
 #[derive(Debug, Clone, Copy)]
@@ -189,8 +189,24 @@
     pub relay: bool,
 }
 
+/// Report of a limit that a server names for all daemons together.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Id of the server.
+    pub server: Name,
+    /// Start of its incarnation, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Requests a second; `None` if the server no longer names a limit.
+    pub rate: Option<f32>,
+    /// Time since the server's answer.
+    pub age: Duration,
+    /// Whether the receiver forwards it to the peers of its data centre.
+    pub relay: bool,
+}
+
 /// One datagram.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum GossipMessage {
     /// The sender is alive and asks for [`GossipMessage::Peers`].
@@ -207,6 +223,8 @@
     ProbeRate(u32),
     /// A daemon has begun a read of the store to take over, or failed to read it; since format 2.
     ReadAttempt(ReadAttemptReport),
+    /// A server names a limit or no longer does; since format 3.
+    ServerLimit(LimitReport),
 }
 
 /// Asks a peer for all changes after the sender's versions.
--- a/cuminspread/tests/mesh.rs
+++ b/cuminspread/tests/mesh.rs
@@ -201,3 +201,62 @@
         assert_eq!(mesh.size(), 2);
     }
 }
+
+#[test]
+fn lost_daemons_count_as_part_of_the_fleet_and_stopped_ones_do_not() {
+    struct Case {
+        /// Daemons that stop with a message, and that are lost without one.
+        stopped: usize,
+        lost: usize,
+        /// Time after the loss.
+        after_s: u64,
+        fraction: f32,
+    }
+    let cases = [
+        Case {
+            stopped: 0,
+            lost: 6,
+            after_s: 60,
+            fraction: 0.5,
+        },
+        Case {
+            stopped: 6,
+            lost: 0,
+            after_s: 60,
+            fraction: 1.0,
+        },
+        Case {
+            stopped: 3,
+            lost: 3,
+            after_s: 60,
+            fraction: 6.0 / 9.0,
+        },
+        Case {
+            stopped: 0,
+            lost: 6,
+            after_s: 700,
+            fraction: 1.0,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(12, 1);
+        fleet.run(Duration::from_secs(30));
+        for i in 0..case.stopped + case.lost {
+            fleet.meshes[11 - i] = None;
+            if i < case.stopped {
+                for mesh in fleet.meshes.iter_mut().flatten() {
+                    mesh.remove(&daemon(11 - i, 1, 1));
+                }
+            }
+        }
+        fleet.run(Duration::from_secs(case.after_s));
+        let now = fleet.now;
+        let mesh = fleet.meshes[0].as_mut().expect("the first daemon runs");
+        let fraction = mesh.known_fraction(now);
+        let (stopped, lost) = (case.stopped, case.lost);
+        assert!(
+            (fraction - case.fraction).abs() < 0.01,
+            "{stopped} stopped, {lost} lost: {fraction}"
+        );
+    }
+}
--- a/cuminspread/tests/placement.rs
+++ b/cuminspread/tests/placement.rs
@@ -176,6 +176,7 @@
         near_unprobed: 3,
         far_unprobed: 9,
         waited: ms(0),
+        ..Progress::default()
     };
     let no_near = Progress {
         near_unprobed: 0,
@@ -449,6 +450,7 @@
                     near_unprobed: case.servers - probed.len(),
                     far_unprobed: 0,
                     waited: ms(100),
+                    ..Progress::default()
                 };
                 match placement::decide(known, &cx, progress, &settings) {
                     Step::Send(i) => {
@@ -548,6 +550,7 @@
             near_unprobed: 0,
             far_unprobed: 0,
             waited: ms(100),
+            ..Progress::default()
         };
         let probed = [(0, &server)].into_iter();
         let step = placement::decide(probed, &cx, progress, &settings);
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -378,7 +378,9 @@
             sent_at: attempt.sent_at,
             signed: fields.signed,
         };
-        servers.record_limit(now, key, fields.limit, source);
+        if servers.record_limit(now, key, fields.limit, source) {
+            attempt.edge.limits_changed.notify_one();
+        }
     }
 }
 
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -18,7 +18,7 @@
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
 use cuminspread::protocol::gossip::{
-    CrashReport, Daemon, GossipMessage, PullResponse, ReadAttemptReport, Versions,
+    CrashReport, Daemon, GossipMessage, LimitReport, PullResponse, ReadAttemptReport, Versions,
 };
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip::{self, Gossip};
@@ -285,6 +285,37 @@
         self.send_all(&near, &message);
     }
 
+    fn handle_limit_report(&self, report: LimitReport) {
+        self.edge
+            .servers()
+            .record_peer_limit(self.edge.now(), &report);
+        if report.relay {
+            let near = self.lock().mesh.near_peers();
+            let relay = false;
+            self.send_all(
+                &near,
+                &GossipMessage::ServerLimit(LimitReport { relay, ..report }),
+            );
+        }
+    }
+
+    /// Computes this daemon's parts of servers' limits, and reports what it has learned of them.
+    fn update_limits(&self, state: &mut SyncState, now: Mono) {
+        let reports = {
+            let mut servers = self.edge.servers();
+            servers.assign_limits(now, &mut state.mesh);
+            servers.take_limit_reports(now)
+        };
+        for report in reports {
+            self.send_to_fleet(state, |relay| {
+                GossipMessage::ServerLimit(LimitReport {
+                    relay,
+                    ..report.clone()
+                })
+            });
+        }
+    }
+
     /// Runs what is due; returns the time of the next tick.
     fn run_due(self: &Arc<Self>) -> Mono {
         let now = self.edge.now();
@@ -300,6 +331,7 @@
                 GossipMessage::Crash(CrashReport { relay, ..report })
             });
         }
+        self.update_limits(&mut state, now);
         let targets = state.mesh.hello_targets(now);
         if !targets.is_empty() {
             let hello = GossipMessage::Hello(state.mesh.me().clone());
@@ -467,6 +499,7 @@
             tokio::select! {
                 () = sleep_until(until) => {}
                 () = control.wake.notified() => {}
+                () = control.edge.limits_changed.notified() => {}
             }
         })
         .await;
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -152,6 +152,7 @@
             GossipMessage::Leaving(daemon) => self.lock().mesh.remove(&daemon),
             GossipMessage::Crash(report) => self.handle_crash_report(report),
             GossipMessage::ReadAttempt(report) => self.handle_read_attempt(report),
+            GossipMessage::ServerLimit(report) => self.handle_limit_report(report),
             GossipMessage::ProbeRate(rate) => {
                 let mut servers = self.edge.servers();
                 servers.record_peer_probes(rate as f32, &self.edge.edge_settings);
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminspread::coordination::placement::{self, PlacementContext, Progress, Step};
+use cuminspread::coordination::placement::{self, LimitedServer, PlacementContext, Progress, Step};
 use cuminspread::coordination::refusal::RefusalReason;
 use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket};
 use cuminspread::state::Name;
@@ -67,12 +67,24 @@
         let candidates = Candidates::new(edge, req, &tried, &mut probed);
         let cx = candidates.cx;
         if probe_count > 0 && !candidates.alive {
-            return (Err(RefusalReason::NoServer), probe_count);
+            return (Err(candidates.refusal()), probe_count);
         }
-        let no_candidates =
-            candidates.near.is_empty() && candidates.far.is_empty() && probed.is_empty();
-        if no_candidates && (candidates.silent == 0 || now.since(began) > NO_SERVER_AFTER) {
-            return (Err(RefusalReason::NoServer), probe_count);
+        if candidates.is_empty() && probed.is_empty() {
+            if let Some(next) = candidates.next_send {
+                if position.can_wait_until(next) {
+                    position.pause_until(next);
+                    continue;
+                }
+                return (Err(RefusalReason::Limited), probe_count);
+            }
+            if candidates.held_off > 0 {
+                // This daemon's parts of the limits are known in a moment.
+                position.pause();
+                continue;
+            }
+            if candidates.silent == 0 || now.since(began) > NO_SERVER_AFTER {
+                return (Err(candidates.refusal()), probe_count);
+            }
         }
         let waited = if candidates.no_near {
             settings.near_wait
@@ -83,6 +95,7 @@
             near_unprobed: candidates.near.len(),
             far_unprobed: candidates.far.len(),
             waited,
+            limited: candidates.limited,
         };
         let step = {
             let servers = edge.servers();
@@ -90,7 +103,10 @@
         };
         let (from, count) = match step {
             Step::Send(key) => {
-                if let Some(server) = edge.servers().get_mut(key) {
+                let mut servers = edge.servers();
+                if servers.reserve(now, key)
+                    && let Some(server) = servers.get_mut(key)
+                {
                     let upstream = Arc::clone(&server.upstream);
                     return (Ok(Target { key, upstream, cx }), probe_count);
                 }
@@ -228,10 +244,21 @@
 
     /// Queues the request, since no server is good enough now; probing continues after a pause.
     fn pause(&mut self) {
+        self.pause_until(self.edge.now() + self.edge.placement().pause);
+    }
+
+    /// Whether a request that is sent at `at` can still be answered in time.
+    fn can_wait_until(&self, at: Mono) -> bool {
+        let time = self.edge.servers().processing_time(&self.req.route);
+        at + time.mul_f32(MIN_PROCESSING_FRACTION) < self.req.deadline
+    }
+
+    /// Queues the request until a server may take it.
+    fn pause_until(&mut self, at: Mono) {
         let now = self.edge.now();
         let mut servers = self.edge.servers();
         let queue = servers.queue(&self.req.service);
-        queue.probe_at = now + self.edge.placement().pause;
+        queue.probe_at = at;
         if self.ticket.is_none() {
             self.ticket = Some(queue.push(now, self.queued));
             log_waiting(self.req, queue.order.len());
@@ -260,6 +287,12 @@
     cx: PlacementContext,
     near: Vec<ServerKey>,
     far: Vec<ServerKey>,
+    /// A server that names a limit and takes a request now.
+    limited: Option<LimitedServer>,
+    /// Earliest time at which a server that names a limit takes a request.
+    next_send: Option<Mono>,
+    /// Servers that take no request now because of their limits.
+    held_off: usize,
     /// Number of servers whose probe has been open for longer than [`SILENT_AFTER`].
     silent: usize,
     /// No server of the own data centre can take this request.
@@ -293,6 +326,9 @@
             cx,
             near: Vec::new(),
             far: Vec::new(),
+            limited: None,
+            next_send: None,
+            held_off: 0,
             silent: 0,
             no_near: true,
             alive: false,
@@ -304,6 +340,26 @@
             let near = server.state.near;
             let alive = !server.state.is_avoided(now);
             candidates.alive |= alive;
+            if let Some(limit) = &server.limit {
+                probed.retain(|k| *k != key);
+                match server.next_send() {
+                    Some(at) if now >= at => {
+                        let limited = LimitedServer {
+                            index: key,
+                            needs_confirmation: limit.needs_confirmation(now),
+                        };
+                        if alive && candidates.limited.is_none_or(|l| !l.needs_confirmation) {
+                            candidates.limited = Some(limited);
+                        }
+                    }
+                    next => {
+                        candidates.held_off += 1;
+                        let earliest = [candidates.next_send, next].into_iter().flatten().min();
+                        candidates.next_send = earliest;
+                    }
+                }
+                continue;
+            }
             candidates.no_near &= !near || !alive;
             if probed.contains(&key) {
                 continue;
@@ -325,6 +381,22 @@
     }
 }
 
+impl Candidates {
+    /// Whether no server can be probed or takes a request without a probe.
+    fn is_empty(&self) -> bool {
+        self.near.is_empty() && self.far.is_empty() && self.limited.is_none()
+    }
+
+    /// Why the request is refused if none of the servers takes it.
+    fn refusal(&self) -> RefusalReason {
+        if self.held_off > 0 {
+            RefusalReason::Limited
+        } else {
+            RefusalReason::NoServer
+        }
+    }
+}
+
 /// Probes servers in parallel; returns when a response is as good as any can be, shortly after the
 /// first response, or when all have answered.
 async fn probe_servers(edge: &Arc<Edge>, keys: &[ServerKey], cx: &PlacementContext) {
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -20,6 +20,7 @@
 use cuminspread::coordination::retry::TokenBucket;
 use cuminspread::coordination::server_limit::ServerLimit;
 use cuminspread::coordination::weighted_round_robin::WeightedRoundRobin;
+use cuminspread::protocol::gossip::LimitReport;
 use cuminspread::state::Name;
 use cuminspread::state::routing::{Route, RouteTable, Routing, RoutingDelta};
 use cuminspread::state::time::Mono;
@@ -73,6 +74,8 @@
     pub limit: Option<ServerLimit>,
     /// A response named a limit that can't be read.
     limit_malformed: bool,
+    /// When a daemon last reported the limit to its peers.
+    limit_reported: Mono,
 }
 
 /// Servers, and statistics of services and routes.
@@ -97,6 +100,8 @@
     /// Number hashed with server ids, so that each daemon has its own subset of the servers.
     subset_salt: u64,
     probe_limiter: ProbeLimiter,
+    /// Reports of limits that peers don't have yet, and the times of the answers.
+    limit_reports: Vec<(Mono, LimitReport)>,
     /// Generator for all random choices.
     pub rng: Pcg32,
 }
@@ -126,6 +131,8 @@
     registry_known: AtomicBool,
     /// Notified when the first configuration or the first servers are known.
     first_known: Notify,
+    /// Notified when a server's limit begins, changes or ends.
+    pub limits_changed: Notify,
     in_flight: AtomicUsize,
     buffered: AtomicUsize,
 }
@@ -164,6 +171,7 @@
             rejecting_waiting: AtomicBool::new(false),
             registry_known: AtomicBool::new(false),
             first_known: Notify::new(),
+            limits_changed: Notify::new(),
             in_flight: AtomicUsize::new(0),
             buffered: AtomicUsize::new(0),
             settings,
@@ -340,6 +348,7 @@
             subset_sizes: HashMap::new(),
             subset_salt: seed,
             probe_limiter: ProbeLimiter::new(ProbeLimiterSettings::default()),
+            limit_reports: Vec::new(),
             rng: Pcg32::new(seed, 3),
         }
     }
@@ -379,6 +388,7 @@
             moved_until: Mono::default(),
             limit: None,
             limit_malformed: false,
+            limit_reported: Mono::default(),
         };
         self.servers.insert(key, server);
         self.keys.insert(entry.id.clone(), key);
--- a/cuminspreadd/src/edge/state/server_limits.rs
+++ b/cuminspreadd/src/edge/state/server_limits.rs
@@ -1,12 +1,19 @@
 //! Limits that servers name in their responses.
 
-use cuminspread::coordination::server_limit::{LimitNotice, ServerLimit};
+use std::time::Duration;
+
+use cuminspread::coordination::mesh::Mesh;
+use cuminspread::coordination::server_limit::{
+    LimitNotice, ServerLimit, held_rate, is_notable_change,
+};
+use cuminspread::protocol::gossip::LimitReport;
 use cuminspread::state::time::Mono;
+use rand::RngExt as _;
 
-use super::{ServerKey, ServerTable};
+use super::{Server, ServerKey, ServerTable};
 
-/// Relative change of a limit from which on it is logged again.
-const LOGGED_CHANGE: f32 = 0.1;
+/// Time after which an unchanged limit is reported to peers again.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Response that a notice of a limit came with.
 #[derive(Debug, Clone, Copy)]
@@ -31,58 +38,157 @@
     }
 }
 
+impl Server {
+    /// When the next request may be sent; `None` if not before more is known of a new limit.
+    pub fn next_send(&self) -> Option<Mono> {
+        self.limit
+            .as_ref()
+            .map_or(Some(Mono::default()), ServerLimit::next_send)
+    }
+
+    /// Records an answer of `at` that names a limit; returns whether it is notable.
+    fn confirm_limit(&mut self, now: Mono, at: Mono, rate: f32, source: &str) -> bool {
+        let before = self.limit.as_ref().map(ServerLimit::rate);
+        match &mut self.limit {
+            Some(limit) => limit.confirm(at, rate),
+            None => self.limit = Some(ServerLimit::new(at, rate)),
+        }
+        let notable = before.is_none_or(|b| is_notable_change(b, rate));
+        if notable {
+            let before = before.map_or_else(|| "none".to_owned(), |b| b.to_string());
+            let age = now.since(at).as_millis();
+            log::info!(
+                "event=server_limited server={} per_s={rate} before={before} source={source} \
+                 age_ms={age}",
+                self.entry.id
+            );
+        }
+        notable
+    }
+
+    fn end_limit(&mut self, now: Mono, source: &str) {
+        if let Some(limit) = self.limit.take() {
+            log::info!(
+                "event=server_limit_ended server={} per_s={} for_ms={} source={source}",
+                self.entry.id,
+                limit.rate(),
+                limit.age(now).as_millis()
+            );
+        }
+    }
+}
+
 impl ServerTable {
-    /// Records what a response says of its server's limit.
+    /// Records what a response says of its server's limit; returns whether that is new.
     pub fn record_limit(
         &mut self,
         now: Mono,
         key: ServerKey,
         notice: LimitNotice,
         source: LimitSource,
-    ) {
+    ) -> bool {
         let Some(server) = self.servers.get_mut(&key) else {
-            return;
+            return false;
         };
-        let id = &server.entry.id;
-        if notice == LimitNotice::Malformed && !std::mem::replace(&mut server.limit_malformed, true)
-        {
-            log::warn!("event=server_limit_unreadable server={id}");
-        }
-        match (notice, &mut server.limit) {
-            (LimitNotice::Rate(rate), limit) => {
-                let before = limit.as_ref().map(ServerLimit::rate);
-                let changed = before.is_none_or(|b| (rate - b).abs() > b * LOGGED_CHANGE);
-                match limit {
-                    Some(limit) => limit.confirm(now, rate),
-                    None => *limit = Some(ServerLimit::new(now, rate)),
-                }
-                if changed {
-                    let before = before.map_or_else(|| "none".to_owned(), |b| b.to_string());
-                    let source = source.label();
-                    log::info!(
-                        "event=server_limited server={id} per_s={rate} before={before} \
-                         source={source}"
-                    );
+        let changed = match notice {
+            LimitNotice::Rate(rate) => server.confirm_limit(now, now, rate, source.label()),
+            LimitNotice::Malformed => {
+                if !std::mem::replace(&mut server.limit_malformed, true) {
+                    let id = &server.entry.id;
+                    log::warn!("event=server_limit_unreadable server={id}");
                 }
+                return false;
             }
-            (LimitNotice::Absent, Some(limit)) => {
+            LimitNotice::Absent => {
                 let LimitSource::Request {
                     sent_at,
                     signed: true,
                 } = source
                 else {
-                    return;
+                    return false;
                 };
-                if limit.is_ended_by(sent_at) {
-                    let (rate, age) = (limit.rate(), limit.age(now).as_millis());
-                    log::info!(
-                        "event=server_limit_ended server={id} per_s={rate} for_ms={age} \
-                         source=response"
-                    );
-                    server.limit = None;
+                let ended = server.limit.as_ref();
+                if !ended.is_some_and(|l| l.is_ended_by(sent_at)) {
+                    return false;
                 }
+                server.end_limit(now, source.label());
+                true
+            }
+        };
+        if changed || now.since(server.limit_reported) >= REPORT_INTERVAL {
+            server.limit_reported = now;
+            let report = LimitReport {
+                server: server.entry.id.clone(),
+                started_ms: server.entry.started_ms,
+                rate: server.limit.as_ref().map(ServerLimit::rate),
+                age: Duration::ZERO,
+                relay: false,
+            };
+            self.limit_reports.push((now, report));
+        }
+        changed
+    }
+
+    /// Records a peer's report of a limit; one of another incarnation has no effect.
+    pub fn record_peer_limit(&mut self, now: Mono, report: &LimitReport) {
+        let key = self.keys.get(&report.server);
+        let Some(server) = key.and_then(|k| self.servers.get_mut(k)) else {
+            return;
+        };
+        if server.entry.started_ms != report.started_ms {
+            return;
+        }
+        let at = now - report.age;
+        match (report.rate, &server.limit) {
+            (Some(rate), _) if rate.is_finite() && rate >= 0.0 => {
+                server.limit_reported = now;
+                server.confirm_limit(now, at, rate, "peer");
+            }
+            (None, Some(limit)) if at >= limit.confirmed() => server.end_limit(now, "peer"),
+            _ => {}
+        }
+    }
+
+    /// Reports of limits for peers since the last call.
+    pub fn take_limit_reports(&mut self, now: Mono) -> Vec<LimitReport> {
+        let reports = self.limit_reports.drain(..);
+        let with_age = reports.map(|(at, report)| LimitReport {
+            age: now.since(at),
+            ..report
+        });
+        with_age.collect()
+    }
+
+    /// Computes this daemon's parts of new and changed limits.
+    pub fn assign_limits(&mut self, now: Mono, mesh: &mut Mesh) {
+        for server in self.servers.values_mut() {
+            let Some(limit) = &mut server.limit else {
+                continue;
+            };
+            if !limit.needs_part(now) {
+                continue;
+            }
+            let known_fraction = mesh.known_fraction(now);
+            let entry = &server.entry;
+            let rate = held_rate(
+                &entry.id,
+                &entry.data_centre,
+                limit.rate(),
+                mesh.me(),
+                mesh.daemons(),
+                known_fraction,
+            );
+            let before = limit.own_rate();
+            limit.assign(now, rate, mesh.size(), self.rng.random_range(0.0..1.0));
+            let own = limit.own_rate();
+            if is_notable_change(before, own) {
+                let (id, per_s) = (&entry.id, limit.rate());
+                log::info!(
+                    "event=server_limit_part server={id} per_s={per_s} own_per_s={own:.2} \
+                     daemons={}",
+                    mesh.size()
+                );
             }
-            (LimitNotice::Absent, None) | (LimitNotice::Malformed, _) => {}
         }
     }
 
@@ -90,4 +196,19 @@
     pub fn limited(&self) -> usize {
         self.servers.values().filter(|s| s.limit.is_some()).count()
     }
+
+    /// Takes a request to a server out of this daemon's part of its limit; false if the server is
+    /// gone or the request must not be sent now.
+    pub fn reserve(&mut self, now: Mono, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return false;
+        };
+        if server.next_send().is_none_or(|at| now < at) {
+            return false;
+        }
+        if let Some(limit) = &mut server.limit {
+            limit.record_sent(now);
+        }
+        true
+    }
 }
--- a/cuminspreadd/tests/edge/server_limit.rs
+++ b/cuminspreadd/tests/edge/server_limit.rs
@@ -121,7 +121,7 @@
         assert!(busiest <= allowed(per_s), "{busiest} requests in 4 s");
         let settled = server.arrivals();
         let settled = settled.iter().filter(|at| **at >= began + SETTLE_TIME);
-        let most = per_s * (LOAD_TIME - SETTLE_TIME).as_secs_f32();
+        let most = per_s * LOAD_TIME.saturating_sub(SETTLE_TIME).as_secs_f32();
         let used = settled.count() as f32 / most;
         assert!(used >= 0.8, "{used} of the limit is used");
     }
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -8,8 +8,8 @@
 use cuminspread::coordination::reader::ReadAttempt;
 use cuminspread::protocol::envelope::{Envelope, EnvelopeHeader};
 use cuminspread::protocol::gossip::{
-    self, CrashReport, Daemon, GossipMessage, KnownPeer, PullResponse, ReadAttemptReport,
-    RegistryUpdate, RoutingUpdate, StoreUpdate, Versions,
+    self, CrashReport, Daemon, GossipMessage, KnownPeer, LimitReport, PullResponse,
+    ReadAttemptReport, RegistryUpdate, RoutingUpdate, StoreUpdate, Versions,
 };
 use cuminspread::protocol::member::{ListMark, Liveness, MemberMessage, MemberUpdate};
 use cuminspread::protocol::message::Message;
@@ -125,6 +125,13 @@
         attempt: ReadAttempt::Failed,
         relay: true,
     };
+    let limit = LimitReport {
+        server: "i-1".into(),
+        started_ms: 1_000,
+        rate: Some(3.2),
+        age: Duration::from_millis(20),
+        relay: false,
+    };
     let messages = [
         ("hello", GossipMessage::Hello(daemon.clone())),
         ("peers", GossipMessage::Peers(vec![peer.clone()])),
@@ -133,6 +140,7 @@
         ("crash", GossipMessage::Crash(crash)),
         ("questions", GossipMessage::ProbeRate(70)),
         ("read-attempt", GossipMessage::ReadAttempt(attempt)),
+        ("server-limit", GossipMessage::ServerLimit(limit)),
     ];
     let response = |routing, registry| PullResponse {
         routing: Some(routing),
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -10,6 +10,7 @@
 use cuminspread::coordination::placement::{PlacementContext, PlacementSettings, ServerState};
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::reader::{ReadSchedule, ReaderSettings};
+use cuminspread::coordination::server_limit::{ServerLimit, held_rate};
 use cuminspread::protocol::envelope::{Envelope, EnvelopeError, FORMAT_VERSION, Sealer};
 use cuminspread::protocol::gossip::{
     self, Daemon, GossipMessage, PullResponse, RegistryUpdate, RoutingUpdate,
@@ -213,6 +214,18 @@
             schedule.record_peer_attempt(NOW, report.rank, report.attempt);
             assert!(schedule.next_read().is_some());
         }
+        GossipMessage::ServerLimit(report) => {
+            let rate = report.rate.filter(|r| r.is_finite() && *r >= 0.0);
+            let me = mesh.me().clone();
+            let held =
+                rate.and_then(|r| held_rate(&report.server, "hall", r, &me, mesh.daemons(), 1.0));
+            if let Some(rate) = rate {
+                let mut limit = ServerLimit::new(NOW - report.age, rate);
+                limit.assign(NOW, held, mesh.size(), 0.5);
+                limit.record_sent(NOW);
+                assert!(limit.next_send().is_some());
+            }
+        }
         GossipMessage::Crash(report) => {
             let broke = NOW - report.age;
             let crash = Crash {
