edge: a server that says in an answer that it is leaving gets nothing more

Cause of the fault: the field wasn't read. Some servers never report to the registry that they leave, so a daemon used them until their entries were removed.

Change: any answer with it, to a request or a probe, marks the incarnation as leaving in the daemon's servers at once, and in its catalog, where that is already final for an incarnation: later reports, removals and copies of the store don't take it back. Peers hear of it by a message of format 3 and stop, too. The belief ends with the incarnation.

Ruled out: a list of servers beside the catalog; the catalog's rule for incarnations has the same meaning and is already held by the restore drill.

--- a/cuminspread/src/coordination/catalog.rs
+++ b/cuminspread/src/coordination/catalog.rs
@@ -207,6 +207,20 @@
         changed
     }
 
+    /// Records that an incarnation of a server has said itself that it is leaving, before or without
+    /// a report to the registry; returns the change if that is new.
+    pub fn record_leaving(&mut self, id: &str, started_ms: u64) -> Option<RevisionedChange> {
+        let record = self.servers.get_mut(id)?;
+        let entry = &mut record.entry;
+        if entry.started_ms != started_ms || std::mem::replace(&mut entry.draining, true) {
+            return None;
+        }
+        Some(RevisionedChange {
+            revision: record.revision,
+            change: Change::Reported(entry.clone()),
+        })
+    }
+
     /// Marks the catalog as complete up to this revision; a lower one has no effect.
     pub fn set_complete_to(&mut self, revision: Revision) {
         if revision.era > self.revision.era && !self.revision.is_empty() {
--- a/cuminspread/src/protocol/gossip.rs
+++ b/cuminspread/src/protocol/gossip.rs
@@ -205,6 +205,18 @@
     pub relay: bool,
 }
 
+/// Report of a server that has said in an answer that it is leaving.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LeavingReport {
+    /// Id of the server.
+    pub server: Name,
+    /// Start of its incarnation, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Whether the receiver forwards it to the peers of its data centre.
+    pub relay: bool,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -225,6 +237,8 @@
     ReadAttempt(ReadAttemptReport),
     /// A server names a limit or no longer does; since format 3.
     ServerLimit(LimitReport),
+    /// A server is leaving; since format 3.
+    ServerLeaving(LeavingReport),
 }
 
 /// Asks a peer for all changes after the sender's versions.
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -364,7 +364,7 @@
     }
 }
 
-/// Records what a response says of its server: its load and its limit.
+/// Records what a response says of its server: its load, its limit, and whether it is leaving.
 fn record_state(attempt: &Attempt<'_>, fields: &ResponseFields) {
     let now = attempt.edge.now();
     let key = attempt.target.key;
@@ -372,15 +372,17 @@
     if let Some(load) = fields.load {
         servers.record_load(now, key, load, None);
     }
-    // Another server has answered.
-    if !fields.misdirected {
-        let source = LimitSource::Request {
-            sent_at: attempt.sent_at,
-            signed: fields.signed,
-        };
-        if servers.record_limit(now, key, fields.limit, source) {
-            attempt.edge.limits_changed.notify_one();
-        }
+    if fields.misdirected {
+        // Another server has answered.
+        return;
+    }
+    let source = LimitSource::Request {
+        sent_at: attempt.sent_at,
+        signed: fields.signed,
+    };
+    let is_new = servers.record_limit(now, key, fields.limit, source);
+    if fields.leaving && servers.record_leaving(key) || is_new {
+        attempt.edge.server_notice.notify_one();
     }
 }
 
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -18,7 +18,8 @@
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
 use cuminspread::protocol::gossip::{
-    CrashReport, Daemon, GossipMessage, LimitReport, PullResponse, ReadAttemptReport, Versions,
+    CrashReport, Daemon, GossipMessage, LeavingReport, LimitReport, PullResponse,
+    ReadAttemptReport, Versions,
 };
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip::{self, Gossip};
@@ -299,6 +300,46 @@
         }
     }
 
+    fn handle_leaving_report(&self, report: LeavingReport) {
+        let mut state = self.lock();
+        let change = state
+            .catalog
+            .record_leaving(&report.server, report.started_ms);
+        let near = state.mesh.near_peers();
+        drop(state);
+        if let Some(change) = change {
+            self.apply_changes(&[change], "peer", Duration::ZERO);
+        }
+        if report.relay {
+            let relay = false;
+            self.send_all(
+                &near,
+                &GossipMessage::ServerLeaving(LeavingReport { relay, ..report }),
+            );
+        }
+    }
+
+    /// Records servers that have said that they are leaving, and reports them to peers; returns
+    /// the changes.
+    fn update_leaving(&self, state: &mut SyncState) -> Vec<RevisionedChange> {
+        let reports = self.edge.servers().take_leaving_reports();
+        let mut changes = Vec::new();
+        for report in reports {
+            changes.extend(
+                state
+                    .catalog
+                    .record_leaving(&report.server, report.started_ms),
+            );
+            self.send_to_fleet(state, |relay| {
+                GossipMessage::ServerLeaving(LeavingReport {
+                    relay,
+                    ..report.clone()
+                })
+            });
+        }
+        changes
+    }
+
     /// Computes this daemon's parts of servers' limits, and reports what it has learned of them.
     fn update_limits(&self, state: &mut SyncState, now: Mono) {
         let reports = {
@@ -332,6 +373,7 @@
             });
         }
         self.update_limits(&mut state, now);
+        let leaving = self.update_leaving(&mut state);
         let targets = state.mesh.hello_targets(now);
         if !targets.is_empty() {
             let hello = GossipMessage::Hello(state.mesh.me().clone());
@@ -369,8 +411,10 @@
             servers.remove(&id);
         }
         drop(servers);
-        if !confirmed.is_empty() {
-            self.apply_changes(&confirmed, "hold", Duration::ZERO);
+        for (changes, source) in [(confirmed, "hold"), (leaving, "response")] {
+            if !changes.is_empty() {
+                self.apply_changes(&changes, source, Duration::ZERO);
+            }
         }
         next
     }
@@ -499,7 +543,7 @@
             tokio::select! {
                 () = sleep_until(until) => {}
                 () = control.wake.notified() => {}
-                () = control.edge.limits_changed.notified() => {}
+                () = control.edge.server_notice.notified() => {}
             }
         })
         .await;
--- a/cuminspreadd/src/edge/probe.rs
+++ b/cuminspreadd/src/edge/probe.rs
@@ -53,8 +53,9 @@
             if let Some(load) = health.load {
                 servers.record_load(now, key, load, Some(health.healthy));
             }
-            if servers.record_limit(now, key, health.limit, LimitSource::Probe) {
-                edge.limits_changed.notify_one();
+            let is_new = servers.record_limit(now, key, health.limit, LimitSource::Probe);
+            if health.leaving && servers.record_leaving(key) || is_new {
+                edge.server_notice.notify_one();
             }
             edge.metrics.count_probe("answered");
             return ProbeResult::Answered;
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -20,7 +20,7 @@
 use cuminspread::coordination::retry::TokenBucket;
 use cuminspread::coordination::server_limit::ServerLimit;
 use cuminspread::coordination::weighted_round_robin::WeightedRoundRobin;
-use cuminspread::protocol::gossip::LimitReport;
+use cuminspread::protocol::gossip::{LeavingReport, LimitReport};
 use cuminspread::state::Name;
 use cuminspread::state::routing::{Route, RouteTable, Routing, RoutingDelta};
 use cuminspread::state::time::Mono;
@@ -102,6 +102,8 @@
     probe_limiter: ProbeLimiter,
     /// Reports of limits that peers don't have yet, and the times of the answers.
     limit_reports: Vec<(Mono, LimitReport)>,
+    /// Servers that have said in a response that they are leaving, which peers don't know yet.
+    leaving_reports: Vec<LeavingReport>,
     /// Generator for all random choices.
     pub rng: Pcg32,
 }
@@ -131,8 +133,8 @@
     registry_known: AtomicBool,
     /// Notified when the first configuration or the first servers are known.
     first_known: Notify,
-    /// Notified when a server's limit begins, changes or ends.
-    pub limits_changed: Notify,
+    /// Notified when a response has told something that peers need to know of its server.
+    pub server_notice: Notify,
     in_flight: AtomicUsize,
     buffered: AtomicUsize,
 }
@@ -171,7 +173,7 @@
             rejecting_waiting: AtomicBool::new(false),
             registry_known: AtomicBool::new(false),
             first_known: Notify::new(),
-            limits_changed: Notify::new(),
+            server_notice: Notify::new(),
             in_flight: AtomicUsize::new(0),
             buffered: AtomicUsize::new(0),
             settings,
@@ -349,6 +351,7 @@
             subset_salt: seed,
             probe_limiter: ProbeLimiter::new(ProbeLimiterSettings::default()),
             limit_reports: Vec::new(),
+            leaving_reports: Vec::new(),
             rng: Pcg32::new(seed, 3),
         }
     }
@@ -361,7 +364,12 @@
                 && server.entry.address == entry.address
                 && server.entry.service == entry.service;
             if same {
-                server.entry = entry.clone();
+                // A server that has said itself that it is leaving doesn't take that back.
+                let draining = entry.draining || server.entry.draining;
+                server.entry = ServerEntry {
+                    draining,
+                    ..entry.clone()
+                };
                 return;
             }
             self.remove(&entry.id);
@@ -396,6 +404,28 @@
         service.push(key);
     }
 
+    /// Records that a server has said in a response that it is leaving; returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return false;
+        };
+        if std::mem::replace(&mut server.entry.draining, true) {
+            return false;
+        }
+        self.leaving_reports.push(LeavingReport {
+            server: server.entry.id.clone(),
+            started_ms: server.entry.started_ms,
+            relay: false,
+        });
+        true
+    }
+
+    /// Reports of leaving servers since the last call.
+    pub fn take_leaving_reports(&mut self) -> Vec<LeavingReport> {
+        std::mem::take(&mut self.leaving_reports)
+    }
+
     /// Removes a server; its running requests continue.
     pub fn remove(&mut self, id: &str) {
         let Some(key) = self.keys.remove(id) else {
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -8,6 +8,8 @@
 mod crash;
 #[path = "edge/fixture.rs"]
 mod fixture;
+#[path = "edge/leaving.rs"]
+mod leaving;
 #[path = "edge/placement.rs"]
 mod placement;
 #[path = "edge/program.rs"]
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -8,7 +8,7 @@
 use cuminspread::coordination::reader::ReadAttempt;
 use cuminspread::protocol::envelope::{Envelope, EnvelopeHeader};
 use cuminspread::protocol::gossip::{
-    self, CrashReport, Daemon, GossipMessage, KnownPeer, LimitReport, PullResponse,
+    self, CrashReport, Daemon, GossipMessage, KnownPeer, LeavingReport, LimitReport, PullResponse,
     ReadAttemptReport, RegistryUpdate, RoutingUpdate, StoreUpdate, Versions,
 };
 use cuminspread::protocol::member::{ListMark, Liveness, MemberMessage, MemberUpdate};
@@ -132,6 +132,11 @@
         age: Duration::from_millis(20),
         relay: false,
     };
+    let leaving = LeavingReport {
+        server: "i-1".into(),
+        started_ms: 1_000,
+        relay: true,
+    };
     let messages = [
         ("hello", GossipMessage::Hello(daemon.clone())),
         ("peers", GossipMessage::Peers(vec![peer.clone()])),
@@ -140,7 +145,8 @@
         ("crash", GossipMessage::Crash(crash)),
         ("questions", GossipMessage::ProbeRate(70)),
         ("read-attempt", GossipMessage::ReadAttempt(attempt)),
-        ("server-limit", GossipMessage::ServerLimit(limit)),
+        ("limit", GossipMessage::ServerLimit(limit)),
+        ("announced-end", GossipMessage::ServerLeaving(leaving)),
     ];
     let response = |routing, registry| PullResponse {
         routing: Some(routing),
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -214,6 +214,10 @@
             schedule.record_peer_attempt(NOW, report.rank, report.attempt);
             assert!(schedule.next_read().is_some());
         }
+        GossipMessage::ServerLeaving(report) => {
+            let left = Catalog::default().record_leaving(&report.server, report.started_ms);
+            assert!(left.is_none(), "the catalog is empty");
+        }
         GossipMessage::ServerLimit(report) => {
             let rate = report.rate.filter(|r| r.is_finite() && *r >= 0.0);
             let me = mesh.me().clone();
