edge: a server that names a pause is left alone until its end

Cause of the fault: the field wasn't read. A refusal only lowered the server's score, so the next request could follow at once.

Change: a pause belongs to the daemon that was turned away. Pauses and limits are one decision (hold_off) that placement, retries, hedges and probes follow; its table of cases is in virtual time. A pause begins at once, is lengthened but never shortened by later refusals, and ends up to a fifth later, a second at most, so that daemons don't come back at the same moment; the first request after it is placed by a fresh probe. A value that isn't a number of 0 or more says nothing; a server can't take itself out for longer than an hour at a time. If all servers of a service pause, requests are refused at once, with a Retry-After that isn't before the first end, or a second, since another daemon may be served sooner. A request waits for a server's turn only if it is still expected to be in time then.

Weighed and left: telling peers of a pause as a sign of load (not measured).

Before: with record_pause not called, both tests fail (a 503 while the other server is free; 'no_room' instead of 'paused'). After: no request and no probe in the pause; all 47 tests of the daemon pass, three times.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -6,7 +6,7 @@
 //!
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`] and
 //! [`catalog`] for peers and servers with [`placement`], [`wait_queue`], [`probe_limiter`],
-//! [`weighted_round_robin`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
+//! [`weighted_round_robin`], [`hold_off`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
@@ -16,6 +16,7 @@
 pub mod decaying_rate;
 pub mod dispatch;
 pub mod event;
+pub mod hold_off;
 pub mod limits;
 pub mod membership;
 pub mod mesh;
--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -19,6 +19,8 @@
 const REGISTRATION_DELAY: Duration = Duration::from_millis(600);
 /// Time until another daemon, which a retry reaches, may send to one of the limited servers again.
 const LIMITED_DELAY: Duration = Duration::from_millis(500);
+/// Longest random time after the end of a pause at which callers come back.
+const SPREAD_AFTER_PAUSE: Duration = Duration::from_millis(200);
 
 /// Why a request can't be served now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,6 +31,11 @@
     NoServer,
     /// No server will have a free slot in time.
     NoRoom,
+    /// All servers want nothing of this daemon for a time.
+    Paused {
+        /// Time until the first of them takes requests again.
+        left: Duration,
+    },
     /// All servers name limits that leave no request to this daemon in time.
     Limited,
     /// The daemon is about to stop; another daemon can take the request at once.
@@ -44,6 +51,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoServer => "no_server",
             Self::NoRoom => "no_room",
+            Self::Paused { .. } => "paused",
             Self::Limited => "limited",
             Self::Stopping => "stopping",
             Self::Crashing => "crashing",
@@ -60,6 +68,12 @@
         RefusalReason::NoServer => REGISTRATION_DELAY,
         // On average half of the running requests end within half the processing time.
         RefusalReason::NoRoom => processing_time / 2,
+        // Not before the end; another daemon may have a server that takes the request sooner, so
+        // the longest delay holds here, too.
+        RefusalReason::Paused { left } => {
+            let delay = left + SPREAD_AFTER_PAUSE.mul_f64(rng.random_range(0.0..1.0));
+            return delay.clamp(MIN_DELAY, MAX_DELAY);
+        }
         RefusalReason::Limited => LIMITED_DELAY,
         RefusalReason::Stopping => MIN_DELAY,
         RefusalReason::Crashing => MAX_DELAY,
--- a/cuminspreadd/src/edge/admin.rs
+++ b/cuminspreadd/src/edge/admin.rs
@@ -114,6 +114,10 @@
     /// limit.
     #[serde(default)]
     pub limit_per_s: Option<f32>,
+    /// Time for which the server wants nothing of this daemon, in milliseconds; `None` if it hasn't
+    /// asked for a pause.
+    #[serde(default)]
+    pub paused_ms: Option<u64>,
 }
 
 /// Serves the admin listener until the task is aborted.
@@ -183,7 +187,10 @@
         .map(|s| s.upstream.opened_total())
         .sum();
     gauges.connections.set(opened);
-    gauges.limited.set(edge.servers().limited() as i64);
+    let servers = edge.servers();
+    gauges.limited.set(servers.limited() as i64);
+    gauges.paused.set(servers.paused(edge.now()) as i64);
+    drop(servers);
     match edge.metrics.write() {
         Ok(text) => text.into_response(),
         Err(e) => {
@@ -214,7 +221,11 @@
             .report()
             .map(|(at, _)| now.since(at).as_millis() as u64),
         connections: s.upstream.open_count(),
-        limit_per_s: s.limit.as_ref().map(ServerLimit::rate),
+        limit_per_s: s.hold_off.limit.as_ref().map(ServerLimit::rate),
+        paused_ms: s
+            .hold_off
+            .pause_left(now)
+            .map(|left| left.as_millis() as u64),
     });
     let mut servers: Vec<ServerStatus> = servers.collect();
     let peers = synced.peers.into_iter().map(|(daemon, age)| PeerStatus {
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -364,7 +364,8 @@
     }
 }
 
-/// Records what a response says of its server: its load, its limit, and whether it is leaving.
+/// Records what a response says of its server: its load, its limit, a pause, and whether it is
+/// leaving.
 fn record_state(attempt: &Attempt<'_>, fields: &ResponseFields) {
     let now = attempt.edge.now();
     let key = attempt.target.key;
@@ -376,6 +377,9 @@
         // Another server has answered.
         return;
     }
+    if let Some(pause) = fields.pause {
+        servers.record_pause(now, key, pause);
+    }
     let source = LimitSource::Request {
         sent_at: attempt.sent_at,
         signed: fields.signed,
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -78,6 +78,8 @@
     pub connections: Gauge<u64, AtomicU64>,
     /// Servers that name a limit on their requests.
     pub limited: Gauge,
+    /// Servers that want nothing of this daemon for a time.
+    pub paused: Gauge,
 }
 
 impl EdgeMetrics {
@@ -148,6 +150,11 @@
             "Servers that name a limit on their requests",
             gauges.limited.clone(),
         );
+        r.register(
+            "servers_paused",
+            "Servers that want nothing of this daemon for a time",
+            gauges.paused.clone(),
+        );
         Self {
             registry,
             requests,
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cuminspread::coordination::hold_off::{HoldOffCause, SendPermit};
 use cuminspread::coordination::placement::{self, LimitedServer, PlacementContext, Progress, Step};
 use cuminspread::coordination::refusal::RefusalReason;
 use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket};
@@ -75,9 +76,9 @@
                     position.pause_until(next);
                     continue;
                 }
-                return (Err(RefusalReason::Limited), probe_count);
+                return (Err(candidates.refusal()), probe_count);
             }
-            if candidates.held_off > 0 {
+            if candidates.held_off.is_some() {
                 // This daemon's parts of the limits are known in a moment.
                 position.pause();
                 continue;
@@ -247,10 +248,10 @@
         self.pause_until(self.edge.now() + self.edge.placement().pause);
     }
 
-    /// Whether a request that is sent at `at` can still be answered in time.
+    /// Whether a request that is sent at `at` is expected to be answered in time. Otherwise the
+    /// caller had better ask another daemon.
     fn can_wait_until(&self, at: Mono) -> bool {
-        let time = self.edge.servers().processing_time(&self.req.route);
-        at + time.mul_f32(MIN_PROCESSING_FRACTION) < self.req.deadline
+        at <= self.queued.latest_start
     }
 
     /// Queues the request until a server may take it.
@@ -289,10 +290,10 @@
     far: Vec<ServerKey>,
     /// A server that names a limit and takes a request now.
     limited: Option<LimitedServer>,
-    /// Earliest time at which a server that names a limit takes a request.
+    /// Earliest time at which a server that takes no request now takes one.
     next_send: Option<Mono>,
-    /// Servers that take no request now because of their limits.
-    held_off: usize,
+    /// Why the first server that takes no request now doesn't.
+    held_off: Option<HoldOffCause>,
     /// Number of servers whose probe has been open for longer than [`SILENT_AFTER`].
     silent: usize,
     /// No server of the own data centre can take this request.
@@ -328,7 +329,7 @@
             far: Vec::new(),
             limited: None,
             next_send: None,
-            held_off: 0,
+            held_off: None,
             silent: 0,
             no_near: true,
             alive: false,
@@ -340,25 +341,25 @@
             let near = server.state.near;
             let alive = !server.state.is_avoided(now);
             candidates.alive |= alive;
-            if let Some(limit) = &server.limit {
-                probed.retain(|k| *k != key);
-                match server.next_send() {
-                    Some(at) if now >= at => {
-                        let limited = LimitedServer {
+            match (server.hold_off.permit(now), &server.hold_off.limit) {
+                (SendPermit::From(at, cause), _) => {
+                    probed.retain(|k| *k != key);
+                    candidates.held_off = candidates.held_off.or(Some(cause));
+                    let earliest = [candidates.next_send, at].into_iter().flatten().min();
+                    candidates.next_send = earliest;
+                    continue;
+                }
+                (SendPermit::Now, Some(limit)) => {
+                    probed.retain(|k| *k != key);
+                    if alive && candidates.limited.is_none_or(|l| !l.needs_confirmation) {
+                        candidates.limited = Some(LimitedServer {
                             index: key,
                             needs_confirmation: limit.needs_confirmation(now),
-                        };
-                        if alive && candidates.limited.is_none_or(|l| !l.needs_confirmation) {
-                            candidates.limited = Some(limited);
-                        }
-                    }
-                    next => {
-                        candidates.held_off += 1;
-                        let earliest = [candidates.next_send, next].into_iter().flatten().min();
-                        candidates.next_send = earliest;
+                        });
                     }
+                    continue;
                 }
-                continue;
+                (SendPermit::Now, None) => {}
             }
             candidates.no_near &= !near || !alive;
             if probed.contains(&key) {
@@ -389,10 +390,13 @@
 
     /// Why the request is refused if none of the servers takes it.
     fn refusal(&self) -> RefusalReason {
-        if self.held_off > 0 {
-            RefusalReason::Limited
-        } else {
-            RefusalReason::NoServer
+        match self.held_off {
+            Some(HoldOffCause::Pause) => {
+                let left = self.next_send.unwrap_or_default().since(self.cx.now);
+                RefusalReason::Paused { left }
+            }
+            Some(HoldOffCause::Limit) => RefusalReason::Limited,
+            None => RefusalReason::NoServer,
         }
     }
 }
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -12,13 +12,13 @@
 
 use cuminspread::coordination::catalog::ServerEntry;
 use cuminspread::coordination::decaying_rate::DecayingRate;
+use cuminspread::coordination::hold_off::HoldOff;
 use cuminspread::coordination::placement::{
     self, AttemptEnd, LoadSlowdown, PROBE_RATE_HALF_LIFE, PlacementContext, PlacementSettings,
     ServerLoad, ServerState,
 };
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::retry::TokenBucket;
-use cuminspread::coordination::server_limit::ServerLimit;
 use cuminspread::coordination::weighted_round_robin::WeightedRoundRobin;
 use cuminspread::protocol::gossip::{LeavingReport, LimitReport};
 use cuminspread::state::Name;
@@ -70,8 +70,8 @@
     pub probed_since: Option<Mono>,
     /// Time until which the server gets no requests, since another server answered at its address.
     pub moved_until: Mono,
-    /// Limit that the server names; `None` if it names none.
-    pub limit: Option<ServerLimit>,
+    /// What the server has asked of this daemon.
+    pub hold_off: HoldOff,
     /// A response named a limit that can't be read.
     limit_malformed: bool,
     /// When a daemon last reported the limit to its peers.
@@ -394,7 +394,7 @@
             upstream: Arc::new(upstream),
             probed_since: None,
             moved_until: Mono::default(),
-            limit: None,
+            hold_off: HoldOff::default(),
             limit_malformed: false,
             limit_reported: Mono::default(),
         };
--- a/cuminspreadd/src/edge/state/server_limits.rs
+++ b/cuminspreadd/src/edge/state/server_limits.rs
@@ -1,7 +1,8 @@
-//! Limits that servers name in their responses.
+//! Limits and pauses that servers name in their responses.
 
 use std::time::Duration;
 
+use cuminspread::coordination::hold_off::SendPermit;
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::server_limit::{
     LimitNotice, ServerLimit, held_rate, is_notable_change,
@@ -39,19 +40,12 @@
 }
 
 impl Server {
-    /// When the next request may be sent; `None` if not before more is known of a new limit.
-    pub fn next_send(&self) -> Option<Mono> {
-        self.limit
-            .as_ref()
-            .map_or(Some(Mono::default()), ServerLimit::next_send)
-    }
-
     /// Records an answer of `at` that names a limit; returns whether it is notable.
     fn confirm_limit(&mut self, now: Mono, at: Mono, rate: f32, source: &str) -> bool {
-        let before = self.limit.as_ref().map(ServerLimit::rate);
-        match &mut self.limit {
+        let before = self.hold_off.limit.as_ref().map(ServerLimit::rate);
+        match &mut self.hold_off.limit {
             Some(limit) => limit.confirm(at, rate),
-            None => self.limit = Some(ServerLimit::new(at, rate)),
+            None => self.hold_off.limit = Some(ServerLimit::new(at, rate)),
         }
         let notable = before.is_none_or(|b| is_notable_change(b, rate));
         if notable {
@@ -67,7 +61,7 @@
     }
 
     fn end_limit(&mut self, now: Mono, source: &str) {
-        if let Some(limit) = self.limit.take() {
+        if let Some(limit) = self.hold_off.limit.take() {
             log::info!(
                 "event=server_limit_ended server={} per_s={} for_ms={} source={source}",
                 self.entry.id,
@@ -107,7 +101,7 @@
                 else {
                     return false;
                 };
-                let ended = server.limit.as_ref();
+                let ended = server.hold_off.limit.as_ref();
                 if !ended.is_some_and(|l| l.is_ended_by(sent_at)) {
                     return false;
                 }
@@ -120,7 +114,7 @@
             let report = LimitReport {
                 server: server.entry.id.clone(),
                 started_ms: server.entry.started_ms,
-                rate: server.limit.as_ref().map(ServerLimit::rate),
+                rate: server.hold_off.limit.as_ref().map(ServerLimit::rate),
                 age: Duration::ZERO,
                 relay: false,
             };
@@ -139,7 +133,7 @@
             return;
         }
         let at = now - report.age;
-        match (report.rate, &server.limit) {
+        match (report.rate, &server.hold_off.limit) {
             (Some(rate), _) if rate.is_finite() && rate >= 0.0 => {
                 server.limit_reported = now;
                 server.confirm_limit(now, at, rate, "peer");
@@ -162,7 +156,7 @@
     /// Computes this daemon's parts of new and changed limits.
     pub fn assign_limits(&mut self, now: Mono, mesh: &mut Mesh) {
         for server in self.servers.values_mut() {
-            let Some(limit) = &mut server.limit else {
+            let Some(limit) = &mut server.hold_off.limit else {
                 continue;
             };
             if !limit.needs_part(now) {
@@ -192,9 +186,32 @@
         }
     }
 
+    /// Records that a server wants nothing of this daemon for `pause`.
+    pub fn record_pause(&mut self, now: Mono, key: ServerKey, pause: Duration) {
+        let spread = self.rng.random_range(0.0..1.0);
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        let was_paused = server.hold_off.pause_left(now).is_some();
+        if server.hold_off.pause(now, pause, spread) && !was_paused {
+            let (id, pause) = (&server.entry.id, pause.as_millis());
+            log::info!("event=server_paused server={id} for_ms={pause}");
+        }
+    }
+
+    /// Number of servers that want nothing of this daemon for a time.
+    pub fn paused(&self, now: Mono) -> usize {
+        let servers = self.servers.values();
+        let paused = servers.filter(|s| s.hold_off.pause_left(now).is_some());
+        paused.count()
+    }
+
     /// Number of servers that name a limit.
     pub fn limited(&self) -> usize {
-        self.servers.values().filter(|s| s.limit.is_some()).count()
+        self.servers
+            .values()
+            .filter(|s| s.hold_off.limit.is_some())
+            .count()
     }
 
     /// Takes a request to a server out of this daemon's part of its limit; false if the server is
@@ -203,10 +220,10 @@
         let Some(server) = self.servers.get_mut(&key) else {
             return false;
         };
-        if server.next_send().is_none_or(|at| now < at) {
+        if server.hold_off.permit(now) != SendPermit::Now {
             return false;
         }
-        if let Some(limit) = &mut server.limit {
+        if let Some(limit) = &mut server.hold_off.limit {
             limit.record_sent(now);
         }
         true
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -10,6 +10,8 @@
 mod fixture;
 #[path = "edge/leaving.rs"]
 mod leaving;
+#[path = "edge/pause.rs"]
+mod pause;
 #[path = "edge/placement.rs"]
 mod placement;
 #[path = "edge/program.rs"]
