edge: what a server has asked outlives an entry that lapses

Cause: pause and limit stood in the server's state, which goes with its entry. Found by reading the rule's excuses: an entry that is gone is none.

Change: the state of a removed server keeps them for its incarnation, as long as the pause lasts or for two minutes after the limit was last named. Besides, a request that can't wait for a held-off server still gives silent ones their time.

--- a/cuminspread/src/coordination/hold_off.rs
+++ b/cuminspread/src/coordination/hold_off.rs
@@ -17,6 +17,8 @@
 
 /// Longest pause that is kept; a server can't take itself out for longer with one response.
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
+/// Time after its last confirmation for which the limit of a server that is gone is kept.
+const LIMIT_MEMORY: Duration = Duration::from_secs(120);
 /// Longest random time that is added to a pause, as a fraction of it.
 const PAUSE_SPREAD: f32 = 0.2;
 /// Longest random time that is added to a pause.
@@ -70,6 +72,13 @@
         (now < self.paused_until).then(|| self.paused_until.since(now))
     }
 
+    /// Whether the server has asked for something that may still hold.
+    pub fn is_active(&self, now: Mono) -> bool {
+        let limit = self.limit.as_ref();
+        let is_recent = limit.is_some_and(|l| now.since(l.confirmed()) < LIMIT_MEMORY);
+        is_recent || self.pause_left(now).is_some()
+    }
+
     /// Whether the daemon may send to the server now.
     pub fn permit(&self, now: Mono) -> SendPermit {
         let limited = self.limit.as_ref().map(ServerLimit::next_send);
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -71,17 +71,17 @@
             return (Err(candidates.refusal()), probe_count);
         }
         if candidates.is_empty() && probed.is_empty() {
-            if let Some(next) = candidates.next_send {
-                if position.can_wait_until(next) {
+            match (candidates.held_off, candidates.next_send) {
+                (Some(_), Some(next)) if position.can_wait_until(next) => {
                     position.pause_until(next);
                     continue;
                 }
-                return (Err(candidates.refusal()), probe_count);
-            }
-            if candidates.held_off.is_some() {
-                // This daemon's parts of the limits are known in a moment.
-                position.pause();
-                continue;
+                (Some(_), None) => {
+                    // This daemon's parts of the limits are known in a moment.
+                    position.pause();
+                    continue;
+                }
+                _ => {}
             }
             if candidates.silent == 0 || now.since(began) > NO_SERVER_AFTER {
                 return (Err(candidates.refusal()), probe_count);
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -100,6 +100,8 @@
     /// Number hashed with server ids, so that each daemon has its own subset of the servers.
     subset_salt: u64,
     probe_limiter: ProbeLimiter,
+    /// What removed servers had asked of this daemon, with the starts of their incarnations.
+    former_hold_offs: HashMap<Name, (u64, HoldOff)>,
     /// Reports of limits that peers don't have yet, and the times of the answers.
     limit_reports: Vec<(Mono, LimitReport)>,
     /// Servers that have said in a response that they are leaving, which peers don't know yet.
@@ -350,6 +352,7 @@
             subset_sizes: HashMap::new(),
             subset_salt: seed,
             probe_limiter: ProbeLimiter::new(ProbeLimiterSettings::default()),
+            former_hold_offs: HashMap::new(),
             limit_reports: Vec::new(),
             leaving_reports: Vec::new(),
             rng: Pcg32::new(seed, 3),
@@ -388,13 +391,15 @@
                 ..edge.settings.servers.connections.clone()
             },
         );
+        let hold_off = self.former_hold_offs.remove(&entry.id);
+        let hold_off = hold_off.filter(|(started_ms, _)| *started_ms == entry.started_ms);
         let server = Server {
             entry: entry.clone(),
             state: ServerState::new(near, entry.slots, edge.now() + entry.warm_up),
             upstream: Arc::new(upstream),
             probed_since: None,
             moved_until: Mono::default(),
-            hold_off: HoldOff::default(),
+            hold_off: hold_off.map(|(_, hold_off)| hold_off).unwrap_or_default(),
             limit_malformed: false,
             limit_reported: Mono::default(),
         };
@@ -431,11 +436,15 @@
         let Some(key) = self.keys.remove(id) else {
             return;
         };
-        if let Some(server) = self.servers.remove(&key)
-            && let Some(keys) = self.by_service.get_mut(&server.entry.service)
-        {
+        let Some(server) = self.servers.remove(&key) else {
+            return;
+        };
+        if let Some(keys) = self.by_service.get_mut(&server.entry.service) {
             keys.retain(|k| *k != key);
         }
+        // The entry may have lapsed, and the server registers again.
+        let former = (server.entry.started_ms, server.hold_off);
+        self.former_hold_offs.insert(server.entry.id, former);
     }
 
     /// Records whether the servers of a service report no load.
--- a/cuminspreadd/src/edge/state/server_limits.rs
+++ b/cuminspreadd/src/edge/state/server_limits.rs
@@ -153,8 +153,10 @@
         with_age.collect()
     }
 
-    /// Computes this daemon's parts of new and changed limits.
+    /// Computes this daemon's parts of new and changed limits, and forgets what no longer holds.
     pub fn assign_limits(&mut self, now: Mono, mesh: &mut Mesh) {
+        self.former_hold_offs
+            .retain(|_, (_, hold_off)| hold_off.is_active(now));
         for server in self.servers.values_mut() {
             let Some(limit) = &mut server.hold_off.limit else {
                 continue;
--- a/cuminspreadd/tests/edge/pause.rs
+++ b/cuminspreadd/tests/edge/pause.rs
@@ -8,7 +8,7 @@
 use cuminspreadd::edge::run::EdgeDaemon;
 use tokio::time::sleep;
 
-use crate::fixture::{Fixture, send, wait_for};
+use crate::fixture::{Fixture, STATUS_SERVICE, send, wait_for};
 
 const PAUSE: Duration = Duration::from_secs(3);
 
@@ -97,3 +97,32 @@
     assert_eq!(after, before);
     daemon.kill();
 }
+
+#[tokio::test]
+async fn a_pause_outlives_an_entry_that_lapses() {
+    let fixture = Fixture::new(2, RouteRow::default()).await;
+    let daemon = fixture.start_daemon().await;
+    let [server, other] = fixture.servers.as_slice() else {
+        panic!("two servers");
+    };
+    other.set_running(4);
+    server.set_behaviour(Behaviour::Shed);
+    server.set_pause("20");
+    wait_for("a refusal", async || {
+        status(&daemon).await;
+        !server.arrivals().is_empty()
+    })
+    .await;
+    other.set_running(0);
+    let (before, probes) = (server.arrivals().len(), server.probes());
+    fixture.store.delete_server(server.id());
+    sleep(PAUSE / 2).await;
+    let (id, address) = (server.id(), server.address());
+    fixture.store.put_report(id, STATUS_SERVICE, address, 9);
+    sleep(PAUSE / 2).await;
+    for _ in 0..20 {
+        assert_eq!(status(&daemon).await, 200);
+    }
+    assert_eq!((server.arrivals().len(), server.probes()), (before, probes));
+    daemon.kill();
+}
