fault-soak: a drill in which servers name limits, pauses and their ends

'--only server-signals': limits move, most servers name one at once, servers turn requests away with a pause, and announce in their answers that they leave while the store lists them as ready; meanwhile the store is silent now and then and daemons are killed, stopped and frozen, overlapping. From what each server saw and answered, and which daemon each request was sent to, the three rules are judged as the users word them, per daemon where they are, with a restart or freeze as the only excuses. The checks run in all other soaks, too, where no server asks.

--- a/bench/src/fault_soak.rs
+++ b/bench/src/fault_soak.rs
@@ -14,7 +14,8 @@
 //! - after the last fault and a recovery time, nearly all requests are served;
 //! - a server that then announces that it leaves gets no request sent after the drain time-out.
 //!
-//! `--only store-restore` plays a drill instead: the store comes back from older copies.
+//! `--only` plays a drill instead: with `store-restore` the store comes back from older copies, and
+//! with `server-signals` servers name limits and pauses and announce their ends.
 //!
 //! No fault changes clocks: daemons measure time with the monotonic clock and use the wall clock
 //! only to name their start.
@@ -22,6 +23,7 @@
 pub mod client;
 pub mod fleet;
 pub mod proxy;
+mod server_signals;
 mod store_restore;
 
 use std::collections::HashMap;
@@ -79,6 +81,8 @@
     Any,
     /// The store comes back from older copies.
     StoreRestore,
+    /// Servers name limits and pauses, and announce that they leave.
+    ServerSignals,
 }
 
 /// Settings of a run.
@@ -129,7 +133,7 @@
             Arg::new("only")
                 .long("only")
                 .value_name("FAULT")
-                .value_parser(["store-restore"])
+                .value_parser(["store-restore", "server-signals"])
                 .help("Inject only this fault"),
         )
         .arg(number_arg("seed", "1", "First seed"))
@@ -150,7 +154,8 @@
     let number = |name| args.get_one(name).copied().unwrap_or(1u64);
     let programs = args.get_many::<String>("program").into_iter().flatten();
     let programs: Vec<PathBuf> = programs.map(PathBuf::from).collect();
-    let faults = match args.get_one::<String>("only") {
+    let faults = match args.get_one::<String>("only").map(String::as_str) {
+        Some("server-signals") => Faults::ServerSignals,
         Some(_) => Faults::StoreRestore,
         None => Faults::Any,
     };
@@ -216,6 +221,7 @@
                 sleep(Duration::from_millis(interval_ms)).await;
                 fleet.update()?;
             }
+            Faults::ServerSignals => server_signals::inject(&mut fleet, &mut rng).await?,
             Faults::StoreRestore => {
                 let left = settings.duration.saturating_sub(start.elapsed());
                 store_restore::round(&mut fleet, &mut rng, &added_routes, left).await?;
@@ -253,6 +259,9 @@
             .violations
             .extend(store_restore::check(&fleet, &requests));
     }
+    verdict
+        .violations
+        .extend(server_signals::check(&fleet, &requests));
     let calm: Vec<&SentRequest> = requests.iter().filter(|r| r.at >= calm_from).collect();
     let served = calm.iter().filter(|r| r.outcome == Outcome::Served).count();
     if (served as f64) < MIN_SERVED_FRACTION * calm.len() as f64 {
--- a/bench/src/fault_soak/client.rs
+++ b/bench/src/fault_soak/client.rs
@@ -66,6 +66,10 @@
     pub at: Instant,
     /// Outcome; [`Outcome::NoResponse`] until there is another.
     pub outcome: Outcome,
+    /// Index of the daemon that it was sent to; `None` without a connection.
+    pub daemon: Option<usize>,
+    /// Time at which the outcome was known.
+    pub ended: Instant,
 }
 
 impl SentRequest {
@@ -87,8 +91,8 @@
     number: usize,
     /// How many of [`ADDED_ROUTES`] all daemons must have; the last of them is used for reads, too.
     added_routes: Arc<AtomicUsize>,
-    /// Connection that can be used again.
-    connection: Option<TcpStream>,
+    /// Connection that can be used again, and the index of its daemon.
+    connection: Option<(usize, TcpStream)>,
 }
 
 impl Client {
@@ -133,8 +137,11 @@
                 body,
                 at: Instant::now(),
                 outcome: Outcome::NoResponse,
+                daemon: None,
+                ended: Instant::now(),
             };
-            let outcome = timeout(RESPONSE_TIMEOUT, self.exchange(&request)).await;
+            let outcome = timeout(RESPONSE_TIMEOUT, self.exchange(&mut request)).await;
+            request.ended = Instant::now();
             request.outcome = outcome.ok().flatten().unwrap_or(Outcome::NoResponse);
             if request.outcome == Outcome::NoResponse {
                 self.connection = None;
@@ -145,16 +152,15 @@
         requests
     }
 
-    async fn exchange(&mut self, request: &SentRequest) -> Option<Outcome> {
-        let mut stream = if let Some(stream) = self.connection.take() {
-            stream
+    async fn exchange(&mut self, request: &mut SentRequest) -> Option<Outcome> {
+        let (daemon, mut stream) = if let Some(connection) = self.connection.take() {
+            connection
         } else {
-            let daemon = self.daemons[self.rng.random_range(0..self.daemons.len())];
-            timeout(CONNECT_TIMEOUT, TcpStream::connect(daemon))
-                .await
-                .ok()?
-                .ok()?
+            let daemon = self.rng.random_range(0..self.daemons.len());
+            let connect = TcpStream::connect(self.daemons[daemon]);
+            (daemon, timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?)
         };
+        request.daemon = Some(daemon);
         let req = ClientRequest {
             method: request.method(),
             target: &request.target,
@@ -168,7 +174,7 @@
         let (head, body) = read_response(&mut stream).await?;
         let status: u16 = head.get(9..12)?.parse().ok()?;
         if !head.to_ascii_lowercase().contains("connection: close") {
-            self.connection = Some(stream);
+            self.connection = Some((daemon, stream));
         }
         let complete = head.contains("signature") && body == format!("answer to {}", request.id);
         Some(match status {
--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use cuminspread_platform::standin::server::{Behaviour, ExecutedRequest, StandInServer};
+use cuminspread_platform::standin::server::{Arrival, Behaviour, ExecutedRequest, StandInServer};
 use cuminspread_platform::standin::store::{Mode, RouteRow, StandInStore, config_text};
 use serde_json::json;
 use tokio::time::Instant;
@@ -96,6 +96,8 @@
     replaced: Vec<StandInServer>,
     /// Servers that left without being stopped.
     left: Vec<LeftServer>,
+    /// Daemons that were signalled or started again, and when.
+    disruptions: Vec<(usize, Instant)>,
     /// When the store comes back from its copy; `None` unless it is away for that.
     restore_at: Option<Instant>,
     /// When the store came back from a copy.
@@ -132,6 +134,7 @@
             daemons: Vec::new(),
             replaced: Vec::new(),
             left: Vec::new(),
+            disruptions: Vec::new(),
             restore_at: None,
             restored_at: Vec::new(),
             rewrite_at: None,
@@ -208,6 +211,9 @@
 
     /// Sends a daemon a signal; after `SIGTERM`, `SIGKILL` follows once the grace time is over.
     pub fn signal(&mut self, daemon: usize, signal: Signal) {
+        if signal != Signal::Reload {
+            self.disruptions.push((daemon, Instant::now()));
+        }
         let daemon = &mut self.daemons[daemon];
         if signal == Signal::Terminate {
             daemon.kill_at = Some(Instant::now() + STOP_GRACE);
@@ -320,6 +326,53 @@
         Ok(())
     }
 
+    /// Starts a replacement of a server, which says in its answers that it is leaving, stays in the
+    /// registry and goes on serving.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the replacement can't be started.
+    pub async fn announce_end(&mut self, server: usize) -> anyhow::Result<()> {
+        let new = self.start_server().await?;
+        let server = std::mem::replace(&mut self.servers[server], new);
+        server.stand_in.set_leaving(true);
+        self.left.push(LeftServer {
+            server,
+            left_at: Instant::now(),
+        });
+        Ok(())
+    }
+
+    /// Sets the limit that a server names, in requests a second; `None` if it names none.
+    pub fn set_limit(&mut self, server: usize, limit: Option<f32>) {
+        let limit = limit.map(|l| l.to_string()).unwrap_or_default();
+        self.servers[server].stand_in.set_limit(&limit);
+    }
+
+    /// Lets a server turn requests away and name this pause, in seconds; `None` ends that.
+    pub fn set_pause(&mut self, server: usize, pause: Option<f32>) {
+        let stand_in = &self.servers[server].stand_in;
+        stand_in.set_pause(&pause.map(|p| p.to_string()).unwrap_or_default());
+        stand_in.set_behaviour(match pause {
+            Some(_) => Behaviour::Shed,
+            None => Behaviour::Answer,
+        });
+    }
+
+    /// Requests that arrived at each server that was ever started.
+    pub fn arrivals(&self) -> Vec<Vec<Arrival>> {
+        let running = self.servers.iter().map(|s| &s.stand_in);
+        let left = self.left.iter().map(|l| &l.server.stand_in);
+        let all = running.chain(&self.replaced).chain(left);
+        all.map(StandInServer::arrivals).collect()
+    }
+
+    /// Whether a daemon was signalled or started again in a span of time.
+    pub fn is_disrupted(&self, daemon: usize, from: Instant, to: Instant) -> bool {
+        let mut disruptions = self.disruptions.iter();
+        disruptions.any(|(d, at)| *d == daemon && (from..=to).contains(at))
+    }
+
     /// Makes the copy that [`Fleet::restore_store`] brings back.
     pub fn copy_store(&self) {
         self.store.save_copy();
@@ -395,14 +448,16 @@
         if is_over(&mut self.store_fault_until) {
             self.store_proxy.set_fault(None);
         }
-        for daemon in &mut self.daemons {
+        for (i, daemon) in self.daemons.iter_mut().enumerate() {
             if is_over(&mut daemon.paused_until) {
+                self.disruptions.push((i, now));
                 send_signal(&daemon.child, Signal::Resume);
             }
             if is_over(&mut daemon.kill_at) {
                 send_signal(&daemon.child, Signal::Kill);
             }
             if daemon.child.try_wait()?.is_some() {
+                self.disruptions.push((i, now));
                 daemon.child = start_daemon(&daemon.program, &daemon.settings)?;
                 (daemon.paused_until, daemon.kill_at) = (None, None);
             }
@@ -416,6 +471,7 @@
         self.store_proxy.set_fault(None);
         for server in &mut self.servers {
             server.stand_in.set_behaviour(Behaviour::Answer);
+            server.stand_in.set_limit("");
             server.proxy.set_fault(None);
         }
         for daemon in &mut self.daemons {
--- a/cuminspreadd/tests/edge/server_limit.rs
+++ b/cuminspreadd/tests/edge/server_limit.rs
@@ -38,12 +38,8 @@
 
 /// Most requests in any window that begins once the limit must be kept.
 fn busiest_window(server: &StandInServer, began: Instant) -> usize {
-    let arrivals = server.arrivals();
-    let settled = arrivals
-        .iter()
-        .filter(|at| **at >= began + SETTLE_TIME)
-        .copied()
-        .collect::<Vec<_>>();
+    let arrivals = server.arrivals().into_iter().map(|a| a.at);
+    let settled: Vec<Instant> = arrivals.filter(|at| *at >= began + SETTLE_TIME).collect();
     let in_window = |from: &Instant| {
         let window = *from..*from + WINDOW;
         settled.iter().filter(|at| window.contains(at)).count()
@@ -119,8 +115,8 @@
     for server in &fixture.servers {
         let busiest = busiest_window(server, began);
         assert!(busiest <= allowed(per_s), "{busiest} requests in 4 s");
-        let settled = server.arrivals();
-        let settled = settled.iter().filter(|at| **at >= began + SETTLE_TIME);
+        let settled = server.arrivals().into_iter();
+        let settled = settled.filter(|a| a.at >= began + SETTLE_TIME);
         let most = per_s * LOAD_TIME.saturating_sub(SETTLE_TIME).as_secs_f32();
         let used = settled.count() as f32 / most;
         assert!(used >= 0.8, "{used} of the limit is used");
