control: changes of servers are applied while their configuration must be pulled

Change: the revision up to which changes of servers are applied is kept beside the one up to which the daemon is complete.

--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -65,6 +65,9 @@
     newer_peer: Option<SocketAddr>,
     /// Newest versions that any daemon is known to have.
     wanted: Versions,
+    /// Revision up to which all changes of servers are applied; later than the catalog's while the
+    /// configuration of that revision is missing.
+    applied_to: Revision,
     /// Daemon that made the last known read of the store, and the time of that read.
     last_read: Option<(Daemon, Mono)>,
     /// Time until which missing entries may have lapsed during an outage of the store.
@@ -146,6 +149,7 @@
             previous_version: 0,
             newer_peer: None,
             wanted: Versions::default(),
+            applied_to: Revision::default(),
             last_read: None,
             lapse_until: Mono::default(),
             next_tick: edge.now(),
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -180,13 +180,16 @@
             }
         }
         let mut new = Vec::new();
-        let is_contiguous = !revision.is_empty() && era == revision.era && update.base <= revision;
+        let applied_to = state.applied_to.max(revision);
+        let is_contiguous =
+            !revision.is_empty() && era == revision.era && update.base <= applied_to;
         if is_contiguous {
             for revisioned in &update.changes {
                 if state.catalog.apply(now, revisioned.clone()) {
                     new.push(revisioned.clone());
                 }
             }
+            state.applied_to = applied_to.max(update.versions.revision);
         }
         if let Some(delta) = update.routing.clone() {
             self.edge.activate_delta(delta, "peer");
--- a/cuminspreadd/tests/edge/reader_loss.rs
+++ b/cuminspreadd/tests/edge/reader_loss.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cuminspread::coordination::catalog::Revision;
+use cuminspread::coordination::catalog::{Change, Revision, RevisionedChange};
 use cuminspread::protocol::gossip::{Daemon, GossipMessage, StoreUpdate, Versions};
 use cuminspread::state::Name;
 use cuminspread::transport::gossip::Gossip;
@@ -55,6 +55,16 @@
 
     /// Sends the versions that it has read, and no changes.
     async fn announce(&self, fleet: &[EdgeDaemon], base: Revision, versions: Versions) {
+        self.send(fleet, base, versions, Vec::new()).await;
+    }
+
+    async fn send(
+        &self,
+        fleet: &[EdgeDaemon],
+        base: Revision,
+        versions: Versions,
+        changes: Vec<RevisionedChange>,
+    ) {
         let address = match self {
             Self::Killed(_, address) => *address,
             Self::Dark(gossip) => gossip.local_addr().unwrap(),
@@ -70,7 +80,7 @@
             age: Duration::ZERO,
             versions,
             base,
-            changes: Vec::new(),
+            changes,
             routing: None,
             can_serve: true,
             relay: false,
@@ -135,3 +145,45 @@
         }
     }
 }
+
+#[tokio::test]
+async fn servers_that_leave_are_known_before_a_configuration_that_must_be_pulled() {
+    let fixture = Fixture::new(2, RouteRow::default()).await;
+    let fleet = start_fleet(&fixture, 2).await;
+    let reader = Reader::start(Loss::Dark).await;
+    let known = status(&fleet[0]).await;
+    let revision = |after: u64| Revision {
+        era: known.era,
+        number: known.revision + after,
+    };
+    let versions = |after| Versions {
+        revision: revision(after),
+        version: known.version + 1,
+    };
+    // Two datagrams of one update, which has a new configuration that doesn't fit a datagram.
+    for (i, server) in (0..).zip(&fixture.servers) {
+        let removed = RevisionedChange {
+            revision: revision(i + 1),
+            change: Change::Removed {
+                id: Name::new(server.id()),
+                lapsed: false,
+            },
+        };
+        let base = revision(i);
+        reader
+            .send(&fleet, base, versions(i + 1), vec![removed])
+            .await;
+    }
+    let took = wait_for("the removals", async || {
+        let mut all_removed = true;
+        for daemon in &fleet {
+            all_removed &= status(daemon).await.servers.is_empty();
+        }
+        all_removed
+    })
+    .await;
+    assert!(took < READ_INTERVAL / 2, "{took:?}");
+    for daemon in fleet {
+        daemon.kill();
+    }
+}
