call: answers of attempts that lost a race are still read for 30 ms

Cause: a hedge was sent to a server that turned it away with a pause; the first server answered meanwhile, and the losing attempt was dropped with its connection before the refusal was read. The daemon never knew of the pause.

Change: once the caller has its reply, attempts that are still running get 30 ms; a server that refuses does so at once. What isn't answered by then is cancelled as before, also when the caller has left.

All tests of the daemon pass, twice.

--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -15,11 +15,11 @@
 use cuminspread::state::time::Mono;
 use cuminspread_platform::headers::ResponseFields;
 use futures_util::StreamExt as _;
-use futures_util::future::OptionFuture;
+use futures_util::future::{BoxFuture, OptionFuture};
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::attempt::{AttemptResult, BROKEN, send};
 use super::crash;
@@ -34,6 +34,9 @@
 const MAX_HEDGE_DELAY_FACTOR: f32 = 1.6;
 /// Shortest time until a hedge, as a multiple of the same time; one response in six takes longer.
 const MIN_HEDGE_DELAY_FACTOR: f32 = 1.35;
+/// Time for which attempts that lost a race or whose caller has left may still be answered: a server
+/// that refuses a request does so at once, and may ask for something in its answer.
+const LATE_ANSWER_TIME: Duration = Duration::from_millis(30);
 /// Time reserved for the second server, as a multiple of the usual processing time.
 const HEDGE_PROCESSING_FACTOR: f32 = 1.2;
 
@@ -96,13 +99,25 @@
     }
 }
 
+/// Running attempts of one request.
+type Attempts<'a> = FuturesUnordered<BoxFuture<'a, (Attempt<'a>, AttemptResult)>>;
+
 /// Runs a request and sends its reply, unless the caller closes its connection first.
 pub async fn run(edge: Arc<Edge>, req: InboundRequest, mut tx: oneshot::Sender<Reply>) {
     // Set when the first attempt starts.
     let committed = AtomicBool::new(false);
+    let replied = AtomicBool::new(false);
     let mut history = History::default();
+    let mut attempts = Attempts::new();
     let reply = {
-        let mut serve = pin!(serve(&edge, &req, &committed, &mut history));
+        let mut serve = pin!(serve(
+            &edge,
+            &req,
+            &committed,
+            &replied,
+            &mut history,
+            &mut attempts
+        ));
         tokio::select! {
             biased;
             reply = &mut serve => Some(reply),
@@ -119,16 +134,23 @@
         // Fails only if the caller has just closed the connection.
         let _ = tx.send(reply);
     }
+    let late_answers = async {
+        while let Some((mut attempt, result)) = attempts.next().await {
+            handle_result(&mut attempt, result, &mut history);
+        }
+    };
+    // What isn't answered by then is cancelled.
+    let _ = timeout(LATE_ANSWER_TIME, late_answers).await;
 }
 
-async fn serve(
-    edge: &Arc<Edge>,
-    req: &InboundRequest,
+async fn serve<'a>(
+    edge: &'a Arc<Edge>,
+    req: &'a InboundRequest,
     committed: &AtomicBool,
+    replied: &'a AtomicBool,
     history: &mut History,
+    attempts: &mut Attempts<'a>,
 ) -> Reply {
-    let replied = AtomicBool::new(false);
-    let mut attempts = FuturesUnordered::new();
     let mut fallback = None;
     let mut hedge_at: Option<Instant> = None;
     let mut placement = pin!(OptionFuture::from(Some(place(edge, req, Vec::new()))));
@@ -143,9 +165,9 @@
                 match placed {
                     Ok(target) => {
                         committed.store(true, Ordering::Relaxed);
-                        let attempt = start_attempt(edge, req, target, &replied, history);
+                        let attempt = start_attempt(edge, req, target, replied, history);
                         hedge_at = hedge_time(req, &attempt);
-                        attempts.push(run_attempt(attempt));
+                        attempts.push(Box::pin(run_attempt(attempt)));
                     }
                     Err(_) if !attempts.is_empty() => {}
                     Err(reason) => return final_reply(
