Read-through: what servers say of themselves has a file of its own; cumin shows it

state.rs held the announcement of a server's end apart from its limit and pause. They stand in state/server_notices.rs now; functions are moved, not changed. 'cumin status' counts limited and paused servers of each service.

--- a/cumin/src/fleet.rs
+++ b/cumin/src/fleet.rs
@@ -68,14 +68,19 @@
         status.era,
         status.daemons
     );
-    let mut services: BTreeMap<&str, [usize; 3]> = BTreeMap::new();
+    let mut services: BTreeMap<&str, [usize; 5]> = BTreeMap::new();
     for server in &status.servers {
         let counts = services.entry(&server.service).or_default();
         counts[0] += 1;
         counts[1] += usize::from(server.draining);
         counts[2] += usize::from(server.consecutive_failures > 0);
+        counts[3] += usize::from(server.limit_per_s.is_some());
+        counts[4] += usize::from(server.paused_ms.is_some());
     }
-    for (service, [all, leaving, failing]) in services {
-        println!("  {service}: {all} servers, {leaving} leaving, {failing} failing");
+    for (service, [all, leaving, failing, limited, paused]) in services {
+        println!(
+            "  {service}: {all} servers, {leaving} leaving, {failing} failing, {limited} limited, \
+             {paused} paused"
+        );
     }
 }
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of one daemon share: active routes, servers and counters.
 
-mod server_limits;
+mod server_notices;
 mod service_queue;
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -30,7 +30,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
-pub use self::server_limits::LimitSource;
+pub use self::server_notices::LimitSource;
 pub use self::service_queue::ServiceQueue;
 use super::crash::CrashTracker;
 use super::metrics::EdgeMetrics;
@@ -409,28 +409,6 @@
         service.push(key);
     }
 
-    /// Records that a server has said in a response that it is leaving; returns whether that is
-    /// new.
-    pub fn record_leaving(&mut self, key: ServerKey) -> bool {
-        let Some(server) = self.servers.get_mut(&key) else {
-            return false;
-        };
-        if std::mem::replace(&mut server.entry.draining, true) {
-            return false;
-        }
-        self.leaving_reports.push(LeavingReport {
-            server: server.entry.id.clone(),
-            started_ms: server.entry.started_ms,
-            relay: false,
-        });
-        true
-    }
-
-    /// Reports of leaving servers since the last call.
-    pub fn take_leaving_reports(&mut self) -> Vec<LeavingReport> {
-        std::mem::take(&mut self.leaving_reports)
-    }
-
     /// Removes a server; its running requests continue.
     pub fn remove(&mut self, id: &str) {
         let Some(key) = self.keys.remove(id) else {
--- a/cuminspreadd/src/edge/state/server_limits.rs
+++ b/cuminspreadd/src/edge/state/server_notices.rs
@@ -1,4 +1,4 @@
-//! Limits and pauses that servers name in their responses.
+//! What servers say of themselves in their responses: limits, pauses, and that they are leaving.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 use cuminspread::coordination::server_limit::{
     LimitNotice, ServerLimit, held_rate, is_notable_change,
 };
-use cuminspread::protocol::gossip::LimitReport;
+use cuminspread::protocol::gossip::{LeavingReport, LimitReport};
 use cuminspread::state::time::Mono;
 use rand::RngExt as _;
 
@@ -201,6 +201,28 @@
         }
     }
 
+    /// Records that a server has said in a response that it is leaving; returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return false;
+        };
+        if std::mem::replace(&mut server.entry.draining, true) {
+            return false;
+        }
+        self.leaving_reports.push(LeavingReport {
+            server: server.entry.id.clone(),
+            started_ms: server.entry.started_ms,
+            relay: false,
+        });
+        true
+    }
+
+    /// Reports of leaving servers since the last call.
+    pub fn take_leaving_reports(&mut self) -> Vec<LeavingReport> {
+        std::mem::take(&mut self.leaving_reports)
+    }
+
     /// Number of servers that want nothing of this daemon for a time.
     pub fn paused(&self, now: Mono) -> usize {
         let servers = self.servers.values();
