control: one way to forward a relayed message

Found by reading the change once more: the handlers of limits and of leaving servers copied what those of crashes and of reads of the store did already, which is to send the message on to the near peers, marked as no longer to be relayed. All four call Control::forward now. Two tests of pauses set up the same refusal; they share turn_away, with their assertions as they were.

Behaviour is unchanged.

--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -250,6 +250,12 @@
         }
     }
 
+    /// Sends a message that a relay gets to the peers of its data centre.
+    fn forward(&self, message: &GossipMessage) {
+        let near = self.lock().mesh.near_peers();
+        self.send_all(&near, message);
+    }
+
     /// Notifies peers of a read by this daemon that has not succeeded, or not yet.
     fn send_read_attempt(&self, state: &mut SyncState, attempt: ReadAttempt) {
         let rank = state.mesh.me().rank();
@@ -268,13 +274,13 @@
         state
             .read_schedule
             .record_peer_attempt(now, report.rank, report.attempt);
+        drop(state);
         if report.relay {
-            let near = state.mesh.near_peers();
             let relay = false;
-            self.send_all(
-                &near,
-                &GossipMessage::ReadAttempt(ReadAttemptReport { relay, ..report }),
-            );
+            self.forward(&GossipMessage::ReadAttempt(ReadAttemptReport {
+                relay,
+                ..report
+            }));
         }
     }
 
@@ -282,12 +288,8 @@
         if !self.edge.crash_tracker().record(self.edge.now(), &report) || !report.relay {
             return;
         }
-        let near = self.lock().mesh.near_peers();
-        let message = GossipMessage::Crash(CrashReport {
-            relay: false,
-            ..report
-        });
-        self.send_all(&near, &message);
+        let relay = false;
+        self.forward(&GossipMessage::Crash(CrashReport { relay, ..report }));
     }
 
     fn handle_limit_report(&self, report: LimitReport) {
@@ -295,31 +297,25 @@
             .servers()
             .record_peer_limit(self.edge.now(), &report);
         if report.relay {
-            let near = self.lock().mesh.near_peers();
             let relay = false;
-            self.send_all(
-                &near,
-                &GossipMessage::ServerLimit(LimitReport { relay, ..report }),
-            );
+            self.forward(&GossipMessage::ServerLimit(LimitReport { relay, ..report }));
         }
     }
 
     fn handle_leaving_report(&self, report: LeavingReport) {
-        let mut state = self.lock();
-        let change = state
+        let change = self
+            .lock()
             .catalog
             .record_leaving(&report.server, report.started_ms);
-        let near = state.mesh.near_peers();
-        drop(state);
         if let Some(change) = change {
             self.apply_changes(&[change], "peer", Duration::ZERO);
         }
         if report.relay {
             let relay = false;
-            self.send_all(
-                &near,
-                &GossipMessage::ServerLeaving(LeavingReport { relay, ..report }),
-            );
+            self.forward(&GossipMessage::ServerLeaving(LeavingReport {
+                relay,
+                ..report
+            }));
         }
     }
 
--- a/cuminspreadd/tests/edge/pause.rs
+++ b/cuminspreadd/tests/edge/pause.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cuminspread_platform::standin::client::ClientRequest;
-use cuminspread_platform::standin::server::Behaviour;
+use cuminspread_platform::standin::server::{Behaviour, StandInServer};
 use cuminspread_platform::standin::store::RouteRow;
 use cuminspreadd::edge::run::EdgeDaemon;
 use tokio::time::sleep;
@@ -16,6 +16,24 @@
     send(daemon, &ClientRequest::default()).await.status
 }
 
+/// Lets `server` turn a request of the daemon away with a pause; `other` is full meanwhile, so the
+/// daemon has no choice.
+async fn turn_away(
+    daemon: &EdgeDaemon,
+    server: &StandInServer,
+    other: &StandInServer,
+    pause: &str,
+) {
+    other.set_running(4);
+    server.set_behaviour(Behaviour::Shed);
+    server.set_pause(pause);
+    wait_for("a refusal", async || {
+        status(daemon).await;
+        !server.arrivals().is_empty()
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_server_that_names_a_pause_gets_nothing_until_its_end() {
     struct Case {
@@ -40,15 +58,7 @@
         let [server, other] = fixture.servers.as_slice() else {
             panic!("two servers");
         };
-        // The daemon has no choice, so the server turns a request away at once.
-        other.set_running(4);
-        server.set_behaviour(Behaviour::Shed);
-        server.set_pause(case.pause);
-        wait_for("a refusal", async || {
-            status(&daemon).await;
-            !server.arrivals().is_empty()
-        })
-        .await;
+        turn_away(&daemon, server, other, case.pause).await;
         let began = Instant::now();
         other.set_running(0);
         let (before, probes) = (server.arrivals().len(), server.probes());
@@ -105,14 +115,7 @@
     let [server, other] = fixture.servers.as_slice() else {
         panic!("two servers");
     };
-    other.set_running(4);
-    server.set_behaviour(Behaviour::Shed);
-    server.set_pause("20");
-    wait_for("a refusal", async || {
-        status(&daemon).await;
-        !server.arrivals().is_empty()
-    })
-    .await;
+    turn_away(&daemon, server, other, "20").await;
     other.set_running(0);
     let (before, probes) = (server.arrivals().len(), server.probes());
     fixture.store.delete_server(server.id());
