Test: the port of a server that refuses connections stays taken

Cause: the test bound a port, released it and expected connections to it to be refused. Sockets of tests that run beside it get the port again, about one bind in 14,000 each, and then answer the order. The daemon was right: the connection was accepted, 260 bytes were written, and it broke before an answer.

Evidence: the tests of the daemon, four processes at once, 60 runs each, on the code before: 11 runs failed here, with the answers of other tests' servers (200, 404, 502), and 4 in tests that count their server's requests and saw one too many.

Ruled out: a fault of the daemon (above), and a connection to itself by a source port equal to the destination: the answers were those of other tests' servers.

Change: the socket stays bound without listening until the end of the test. The check is the same.

--- a/cuminspreadd/tests/daemon/failures.rs
+++ b/cuminspreadd/tests/daemon/failures.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cuminspread::invariant::Invariant;
+use tokio::net::TcpSocket;
 
 use crate::caller::{Caller, WAIT_TIMEOUT, request, send};
 use crate::fixture;
@@ -153,13 +154,15 @@
 
 #[tokio::test]
 async fn refused_connection_proves_not_run() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // Bound without listening: connections are refused, and no other test gets the port.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
     let daemon = fixture::daemon(fixture::settings(), fixture::service(&[address])).await;
     let res = send(daemon.front(), &request("POST", "/orders", "", "paper")).await;
     assert_eq!(res.outcome(), "not-run", "{res:?}");
     assert_eq!(daemon.invariants().total_broken(), 0);
+    drop(socket);
 }
 
 /// A response that is passed on while it arrives and breaks off must not look complete to the
