Test: files that tests write belong to one run

The tests of recordings, spans and settings files wrote files with fixed names.

Ruled out: a fault of the recording; the differences were truncated and mixed files of two processes.

Change: a folder for each process.

--- a/cuminspreadd/tests/daemon.rs
+++ b/cuminspreadd/tests/daemon.rs
@@ -20,3 +20,5 @@
 mod stop;
 #[path = "daemon/stub_server.rs"]
 mod stub_server;
+#[path = "daemon/temp_path.rs"]
+mod temp_path;
--- a/cuminspreadd/tests/daemon/program.rs
+++ b/cuminspreadd/tests/daemon/program.rs
@@ -7,6 +7,7 @@
 use std::process::{Child, Command, Output, Stdio};
 
 use crate::caller::{request, send};
+use crate::temp_path::temp_path;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cuminspreadd");
 
@@ -24,7 +25,7 @@
 ";
 
 fn file(name: &str, text: &str) -> PathBuf {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = temp_path(name);
     fs::write(&path, text).unwrap();
     path
 }
--- a/cuminspreadd/tests/daemon/record.rs
+++ b/cuminspreadd/tests/daemon/record.rs
@@ -1,17 +1,17 @@
 //! Recordings of the state machines of a running daemon.
 
 use std::fs;
-use std::path::PathBuf;
 
 use cuminspread::recording::{Compare, replay};
 
 use super::caller::{request, send};
 use super::fixture::{daemon, service, settings};
 use super::stub_server::{Behaviour, StubServer};
+use super::temp_path::temp_path;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn recording_replays_without_a_difference() {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("daemon.record");
+    let path = temp_path("daemon.record");
     let mut settings = settings();
     settings.log.record = Some(path.clone());
     let mut servers = Vec::new();
--- a/cuminspreadd/tests/daemon/spans.rs
+++ b/cuminspreadd/tests/daemon/spans.rs
@@ -1,13 +1,13 @@
 //! Export of the spans of calls and attempts.
 
 use std::fs;
-use std::path::PathBuf;
 
 use serde_json::Value;
 
 use crate::caller::{request, send};
 use crate::fixture;
 use crate::stub_server::{Behaviour, StubServer};
+use crate::temp_path::temp_path;
 
 const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
 const CALLER: &str = "b7ad6b7169203331";
@@ -18,7 +18,7 @@
 
 #[tokio::test]
 async fn sampled_spans_are_written_to_a_file() {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("spans.jsonl");
+    let path = temp_path("spans.jsonl");
     if path.exists() {
         fs::remove_file(&path).unwrap();
     }
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -28,3 +28,5 @@
 mod stop;
 #[path = "edge/sync.rs"]
 mod sync;
+#[path = "daemon/temp_path.rs"]
+mod temp_path;
--- a/cuminspreadd/tests/edge/program.rs
+++ b/cuminspreadd/tests/edge/program.rs
@@ -12,6 +12,7 @@
 
 use crate::caller;
 use crate::fixture::{Fixture, wait_for};
+use crate::temp_path::temp_path;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cuminspreadd");
 
@@ -68,7 +69,7 @@
 
 /// Starts the program with these settings; the channel receives the lines that it logs.
 fn start(name: &str, text: &str) -> (Child, mpsc::UnboundedReceiver<String>, PathBuf) {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = temp_path(name);
     fs::write(&path, text).unwrap();
     let mut child = Command::new(PROGRAM)
         .arg("--settings")
