leaving: peers hear again of a server that is leaving

But a daemon that missed the one report of a server's end (lost datagram, started later, partitioned) went on sending to that server, and the first caller's request to it was the next to learn of it.

Cause: the report went out once, by datagram, and only a daemon that had the entry already could keep it. A restarted daemon that read the store before it pulled from a peer has the entry at the same revision as the peer, so that the peer's word on it is ignored. The class of fault: a belief that travels as an event, and is never sent as a state.

Evidence: `leaving::a_daemon_that_missed_the_announcement_hears_of_it_again` (a daemon has the entry from the store and meets its peers later) failed on the code before: 6 s later its requests still reached the server.

Ruled out: taking a peer's `draining` at an equal revision.

Change: `coordination::leaving` keeps the servers that said so. The report is repeated 2 to 4 s after it was last heard, by whichever daemon's time comes first, until the registry says the same; an entry that comes later is marked at once.

The test passes after the change.

Limits were already repeated every 5 s; pauses concern one daemon only.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -4,9 +4,10 @@
 //! event and the time, and return actions: [`dispatch::Dispatcher`] for calls, and [`node::Node`]
 //! for the messages between daemons.
 //!
-//! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`] and
-//! [`catalog`] for peers and servers with [`placement`], [`wait_queue`], [`probe_limiter`],
-//! [`weighted_round_robin`], [`hold_off`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
+//! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
+//! [`catalog`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
+//! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`] and [`refusal`] for requests.
+//! [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
@@ -17,6 +18,7 @@
 pub mod dispatch;
 pub mod event;
 pub mod hold_off;
+pub mod leaving;
 pub mod limits;
 pub mod membership;
 pub mod mesh;
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -15,6 +15,7 @@
 
 use anyhow::Context as _;
 use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
+use cuminspread::coordination::leaving::{LeavingServers, LeavingSource};
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
 use cuminspread::protocol::gossip::{
@@ -56,6 +57,7 @@
     catalog: Catalog,
     read_schedule: ReadSchedule,
     mesh: Mesh,
+    leaving: LeavingServers,
     /// Revisions of the last updates that this daemon published, newest last.
     published_revisions: Vec<Revision>,
     /// Version of the last published update, and the version published before that one.
@@ -144,6 +146,7 @@
                 edge_settings.seeds.clone(),
                 seed,
             ),
+            leaving: LeavingServers::new(seed),
             published_revisions: Vec::new(),
             published_version: 0,
             previous_version: 0,
@@ -303,10 +306,13 @@
     }
 
     fn handle_leaving_report(&self, report: LeavingReport) {
-        let change = self
-            .lock()
-            .catalog
-            .record_leaving(&report.server, report.started_ms);
+        let (id, started_ms) = (&report.server, report.started_ms);
+        let mut state = self.lock();
+        state
+            .leaving
+            .record(self.edge.now(), id, started_ms, LeavingSource::Peer);
+        let change = state.catalog.record_leaving(id, started_ms);
+        drop(state);
         if let Some(change) = change {
             self.apply_changes(&[change], "peer", Duration::ZERO);
         }
@@ -321,19 +327,27 @@
 
     /// Records servers that have said that they are leaving, and reports them to peers; returns
     /// the changes.
-    fn update_leaving(&self, state: &mut SyncState) -> Vec<RevisionedChange> {
-        let reports = self.edge.servers().take_leaving_reports();
+    fn update_leaving(&self, state: &mut SyncState, now: Mono) -> Vec<RevisionedChange> {
+        let answers = self.edge.servers().take_leaving();
         let mut changes = Vec::new();
-        for report in reports {
-            changes.extend(
-                state
-                    .catalog
-                    .record_leaving(&report.server, report.started_ms),
-            );
+        for (id, started_ms) in answers {
+            state
+                .leaving
+                .record(now, &id, started_ms, LeavingSource::Answer);
+            changes.extend(state.catalog.record_leaving(&id, started_ms));
+        }
+        let catalog = &state.catalog;
+        let due = state.leaving.due_reports(now, |id, started_ms| {
+            catalog
+                .entry(id)
+                .is_some_and(|e| e.started_ms == started_ms)
+        });
+        for (server, started_ms) in due {
             self.send_to_fleet(state, |relay| {
                 GossipMessage::ServerLeaving(LeavingReport {
+                    server: server.clone(),
+                    started_ms,
                     relay,
-                    ..report.clone()
                 })
             });
         }
@@ -373,7 +387,7 @@
             });
         }
         self.update_limits(&mut state, now);
-        let leaving = self.update_leaving(&mut state);
+        let leaving = self.update_leaving(&mut state, now);
         let targets = state.mesh.hello_targets(now);
         if !targets.is_empty() {
             let hello = GossipMessage::Hello(state.mesh.me().clone());
@@ -448,11 +462,16 @@
             }
         }
         // The catalog ignores outdated changes, so the servers are updated from its entries.
-        let state = self.lock();
+        let mut state = self.lock();
         let mut servers = self.edge.servers();
         let mut services = BTreeSet::new();
         for revisioned in changes {
             let id = revisioned.change.id();
+            if let Change::Reported(entry) = &revisioned.change
+                && state.leaving.contains(id, entry.started_ms)
+            {
+                state.catalog.record_leaving(id, entry.started_ms);
+            }
             match state.catalog.entry(id) {
                 Some(entry) => {
                     services.insert(entry.service.clone());
--- a/cuminspreadd/src/edge/control/store.rs
+++ b/cuminspreadd/src/edge/control/store.rs
@@ -161,6 +161,7 @@
         if !partial {
             state.catalog.set_complete_to(result.revision);
         }
+        state.leaving.record_registered(now, &new);
         drop(state);
         if !partial || !new.is_empty() {
             self.apply_changes(&new, "store", Duration::ZERO);
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -190,6 +190,7 @@
                 }
             }
             state.applied_to = applied_to.max(update.versions.revision);
+            state.leaving.record_registered(now, &new);
         }
         if let Some(delta) = update.routing.clone() {
             self.edge.activate_delta(delta, "peer");
@@ -406,6 +407,7 @@
             }
             None => {}
         }
+        state.leaving.record_registered(now, &new);
         drop(state);
         if new.is_empty() {
             return;
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -20,7 +20,7 @@
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::retry::TokenBucket;
 use cuminspread::coordination::weighted_round_robin::WeightedRoundRobin;
-use cuminspread::protocol::gossip::{LeavingReport, LimitReport};
+use cuminspread::protocol::gossip::LimitReport;
 use cuminspread::state::Name;
 use cuminspread::state::routing::{Route, RouteTable, Routing, RoutingDelta};
 use cuminspread::state::time::Mono;
@@ -104,8 +104,9 @@
     former_hold_offs: HashMap<Name, (u64, HoldOff)>,
     /// Reports of limits that peers don't have yet, and the times of the answers.
     limit_reports: Vec<(Mono, LimitReport)>,
-    /// Servers that have said in a response that they are leaving, which peers don't know yet.
-    leaving_reports: Vec<LeavingReport>,
+    /// Servers that have said in a response that they are leaving, with the starts of their
+    /// incarnations; the control task has not taken them yet.
+    leaving: Vec<(Name, u64)>,
     /// Generator for all random choices.
     pub rng: Pcg32,
 }
@@ -354,7 +355,7 @@
             probe_limiter: ProbeLimiter::new(ProbeLimiterSettings::default()),
             former_hold_offs: HashMap::new(),
             limit_reports: Vec::new(),
-            leaving_reports: Vec::new(),
+            leaving: Vec::new(),
             rng: Pcg32::new(seed, 3),
         }
     }
--- a/cuminspreadd/src/edge/state/server_notices.rs
+++ b/cuminspreadd/src/edge/state/server_notices.rs
@@ -7,7 +7,8 @@
 use cuminspread::coordination::server_limit::{
     LimitNotice, ServerLimit, held_rate, is_notable_change,
 };
-use cuminspread::protocol::gossip::{LeavingReport, LimitReport};
+use cuminspread::protocol::gossip::LimitReport;
+use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use rand::RngExt as _;
 
@@ -210,17 +211,15 @@
         if std::mem::replace(&mut server.entry.draining, true) {
             return false;
         }
-        self.leaving_reports.push(LeavingReport {
-            server: server.entry.id.clone(),
-            started_ms: server.entry.started_ms,
-            relay: false,
-        });
+        let entry = &server.entry;
+        self.leaving.push((entry.id.clone(), entry.started_ms));
         true
     }
 
-    /// Reports of leaving servers since the last call.
-    pub fn take_leaving_reports(&mut self) -> Vec<LeavingReport> {
-        std::mem::take(&mut self.leaving_reports)
+    /// Servers that have said that they are leaving since the last call, with the starts of their
+    /// incarnations.
+    pub fn take_leaving(&mut self) -> Vec<(Name, u64)> {
+        std::mem::take(&mut self.leaving)
     }
 
     /// Number of servers that want nothing of this daemon for a time.
--- a/cuminspreadd/tests/edge/leaving.rs
+++ b/cuminspreadd/tests/edge/leaving.rs
@@ -13,6 +13,10 @@
 /// Time for a change of the store, or a message of a peer, to reach all daemons.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
 
+/// Time within which daemons that missed an announcement hear of it: the time between two
+/// repetitions, and that for two daemons to meet.
+const REPEAT_BOUND: Duration = Duration::from_secs(6);
+
 async fn send_many(daemon: &EdgeDaemon, count: usize) -> usize {
     let mut served = 0;
     for _ in 0..count {
@@ -101,3 +105,28 @@
     .await;
     daemon.kill();
 }
+
+/// A daemon that has the server's entry from the store, and meets its peers later.
+#[tokio::test]
+async fn a_daemon_that_missed_the_announcement_hears_of_it_again() {
+    let fixture = Fixture::new(2, RouteRow::default()).await;
+    let told = fixture.start_daemon().await;
+    let late = fixture.start_daemon().await;
+    let leaving = &fixture.servers[0];
+    leaving.set_leaving(true);
+    wait_for("an answer of the leaving server", async || {
+        send_many(&told, 1).await;
+        leaving.arrivals().len() + leaving.probes() as usize > 0
+    })
+    .await;
+    let (_, edge_settings) = fixture.settings(&[told.peer()]);
+    late.reload(&edge_settings);
+    sleep(REPEAT_BOUND).await;
+    let (before, probes) = (leaving.arrivals().len(), leaving.probes());
+    assert_eq!(send_many(&late, 20).await, 20);
+    assert_eq!(leaving.arrivals().len(), before);
+    assert_eq!(leaving.probes(), probes);
+    for daemon in [told, late] {
+        daemon.kill();
+    }
+}
