cumin: what servers have asked for is shown and explained

An operator who asked why a request was refused got `paused` or `limited` back, the bare label of the log, and `cumin servers` said nothing of pauses and limits, which only `/status` had.

Ruled out: new JSON keys; `limit_per_s` and `paused_ms` exist since daemons keep them.

Change: `explain-request` has a sentence for each of the two, and `cumin servers` shows the limit and the time left of a pause. Both tests failed before (`causes_of_outcomes`, `servers_shows_what_a_server_has_asked_for`) and pass now. `cumin services` is about councils' folders and `top` shows reasons by their labels; both unchanged.

--- a/cumin/src/request.rs
+++ b/cumin/src/request.rs
@@ -171,6 +171,14 @@
         ("refused", "no_room") => {
             format!("It was refused, and has not run: no server of {service} had room in time")
         }
+        ("refused", "paused") => format!(
+            "It was refused, and has not run: the servers of {service} had asked this daemon for a \
+             pause"
+        ),
+        ("refused", "limited") => format!(
+            "It was refused, and has not run: the servers of {service} name limits, and this \
+             daemon's part was used"
+        ),
         ("refused", "crashing") => {
             "It was refused, and has not run: requests like it crashed servers".to_owned()
         }
--- a/cumin/src/show.rs
+++ b/cumin/src/show.rs
@@ -212,9 +212,13 @@
         Some(age) => format!("{age} ms old"),
         None => "none".to_owned(),
     };
+    let limit = server.limit_per_s.map(|rate| format!(", limit {rate}/s"));
+    let pause = server
+        .paused_ms
+        .map(|left| format!(", paused for {left} ms"));
     let mark = if server.draining { " leaving" } else { "" };
     println!(
-        "  {} {} {} in {}, {} in flight, connections {}, report {report}, lag {:.2}, strikes {}{mark}",
+        "  {} {} {} in {}, {} in flight, connections {}, report {report}, lag {:.2}, strikes {}{}{}{mark}",
         server.id,
         server.service,
         server.address,
@@ -222,7 +226,9 @@
         server.in_flight,
         server.connections,
         server.latency_ratio,
-        server.consecutive_failures
+        server.consecutive_failures,
+        limit.unwrap_or_default(),
+        pause.unwrap_or_default()
     );
 }
 
--- a/cumin/tests/fleet.rs
+++ b/cumin/tests/fleet.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use cuminspread::state::Name;
-use cuminspread_platform::standin::server::StandInServer;
+use cuminspread_platform::standin::client::ClientRequest;
+use cuminspread_platform::standin::server::{Behaviour, StandInServer};
 use cuminspread_platform::standin::store::{RouteRow, StandInStore, config_text};
 use cuminspreadd::edge::run::EdgeDaemon;
 use cuminspreadd::edge::settings::EdgeSettings;
 use cuminspreadd::settings::Settings;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 
 struct Case {
     args: &'static [&'static str],
@@ -20,6 +23,20 @@
     output: &'static [&'static str],
 }
 
+/// Settings of a daemon named `vm-1` with this store.
+fn settings(store: &StandInStore) -> (Settings, EdgeSettings) {
+    let settings = Settings {
+        name: Name::new("vm-1"),
+        data_centre: Name::new("here"),
+        ..Settings::default()
+    };
+    let edge_settings = EdgeSettings {
+        store: store.address(),
+        ..EdgeSettings::default()
+    };
+    (settings, edge_settings)
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn subcommands_print_the_state_of_a_daemon_with_a_store() {
     let cases = [
@@ -89,15 +106,7 @@
         if case.configured {
             store.put_config(config_text(3, &[RouteRow::default()], 15.0));
         }
-        let settings = Settings {
-            name: Name::new("vm-1"),
-            data_centre: Name::new("here"),
-            ..Settings::default()
-        };
-        let edge_settings = EdgeSettings {
-            store: store.address(),
-            ..EdgeSettings::default()
-        };
+        let (settings, edge_settings) = settings(&store);
         let daemon = EdgeDaemon::start(settings, edge_settings)
             .await
             .expect("free ports");
@@ -116,3 +125,44 @@
         daemon.kill();
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_shows_what_a_server_has_asked_for() {
+    let store = StandInStore::start().await;
+    let server = StandInServer::start("i-1").await;
+    store.put_server("i-1", "status", server.address(), &serde_json::json!({}));
+    store.put_config(config_text(3, &[RouteRow::default()], 15.0));
+    server.set_behaviour(Behaviour::Shed);
+    server.set_limit("3.5");
+    server.set_pause("60");
+    let (settings, edge_settings) = settings(&store);
+    let daemon = EdgeDaemon::start(settings, edge_settings)
+        .await
+        .expect("free ports");
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let mut caller = TcpStream::connect(daemon.front())
+        .await
+        .expect("the daemon listens");
+    let req = ClientRequest::default().text();
+    caller
+        .write_all(req.as_bytes())
+        .await
+        .expect("the daemon reads");
+    let mut status_line = [0; 12];
+    caller
+        .read_exact(&mut status_line)
+        .await
+        .expect("a response");
+    assert_eq!(&status_line, b"HTTP/1.1 503");
+    let output = Command::new(env!("CARGO_BIN_EXE_cumin"))
+        .arg("--admin")
+        .arg(format!("http://{}", daemon.admin()))
+        .arg("servers")
+        .output()
+        .expect("cumin runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    for expected in ["limit 3.5/s", "paused for "] {
+        assert!(text.contains(expected), "{expected}: {text}");
+    }
+    daemon.kill();
+}
--- a/cumin/tests/request.rs
+++ b/cumin/tests/request.rs
@@ -13,6 +13,8 @@
 time_ms=60 level=warn event=request id=a-11 route=r version=7 service=orders server=i-3 near=true outcome=failed status=504 detail=timeout sends=1 runs=1 hedges=0 looks=2 waited_us=900 took_us=2500000
 time_ms=70 level=info event=request id=a-12 outcome=no_route version=8
 time_ms=75 level=warn event=request id=a-14 outcome=refused detail=crashing sends=0
+time_ms=76 level=warn event=request id=a-18 service=orders outcome=refused detail=paused sends=0
+time_ms=77 level=warn event=request id=a-19 service=orders outcome=refused detail=limited sends=0
 time_ms=80 level=info event=placed id=a-15 server=i-3 slowness=1.00 report_age_us=90
 time_ms=90 level=info event=waits id=a-16 service=orders waiting=3
 time_ms=900 level=info event=started name=vm-1 data_centre=hall
@@ -67,6 +69,18 @@
             cause: "has not run: requests like it crashed servers",
             found: true,
         },
+        Case {
+            id: "a-18",
+            lines: 1,
+            cause: "has not run: the servers of orders had asked this daemon for a pause",
+            found: true,
+        },
+        Case {
+            id: "a-19",
+            lines: 1,
+            cause: "has not run: the servers of orders name limits, and this daemon's part was used",
+            found: true,
+        },
         Case {
             id: "a-15",
             lines: 1,
