wait_queue: late requests that none is likely to serve are refused early

A caller that is held to its deadline can't ask elsewhere.

Cause: a request that has become late goes behind all that are in time, those that arrive later included. During an overload none of them is sent, yet each waited until its last moment. The queue estimated the wait from those ahead of it only, and only when the request arrived.

Change: `give_up_at`. If no late request has been sent for some time, the next is expected after the same time again, and a request that has less time left is refused.

--- a/cuminspread/src/coordination/wait_queue.rs
+++ b/cuminspread/src/coordination/wait_queue.rs
@@ -6,7 +6,8 @@
 //!
 //! Requests that can still meet their latency target go first, in the order of their latest starts,
 //! shifted back by priority. The shift is a fixed fraction of the target, so no request starves.
-//! Requests that are already late go last.
+//! Requests that are already late go last. While the burst lasts, later arrivals go before them, so
+//! they are refused as soon as none is likely to be sent within its time.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -51,6 +52,8 @@
     last_sent: Option<Mono>,
     /// Mean interval between sent requests.
     interval: Option<Duration>,
+    /// When a late request was last sent, or the queue last became non-empty.
+    late_sent: Mono,
 }
 
 impl WaitQueue {
@@ -66,6 +69,9 @@
 
     /// Adds a request; a late one goes behind all that are in time.
     pub fn push(&mut self, now: Mono, request: QueuedRequest) -> Ticket {
+        if self.is_empty() {
+            self.late_sent = now;
+        }
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         let requests = if request.latest_start >= now {
@@ -85,6 +91,26 @@
         }
     }
 
+    /// Removes a request that is sent; has no effect if it doesn't wait.
+    pub fn remove_sent(&mut self, now: Mono, ticket: Ticket, request: &QueuedRequest) {
+        if self.late.remove(&(request.sort_key(), ticket)).is_some() {
+            self.late_sent = now;
+        }
+        self.remove(ticket, request);
+    }
+
+    /// Time at which a request is refused if it still waits; not after `latest_send`.
+    ///
+    /// A late request is sent only when none in time waits. If none has been sent for some time,
+    /// the next one is expected after the same time again, and a request that has less time left
+    /// isn't held any longer.
+    pub fn give_up_at(&self, request: &QueuedRequest, latest_send: Mono) -> Mono {
+        let half = latest_send.since(self.late_sent) / 2;
+        (self.late_sent + half)
+            .max(request.latest_start)
+            .min(latest_send)
+    }
+
     /// Request to send next; moves requests that have become late behind those in time.
     pub fn head(&mut self, now: Mono) -> Option<Ticket> {
         while let Some(entry) = self.in_time.first_entry() {
--- a/cuminspread/tests/wait_queue.rs
+++ b/cuminspread/tests/wait_queue.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cuminspread::coordination::refusal::{RefusalReason, retry_after};
-use cuminspread::coordination::wait_queue::{QueuedRequest, WaitQueue};
+use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket, WaitQueue};
 use cuminspread::state::time::Mono;
 use rand_pcg::Pcg32;
 
@@ -208,3 +208,132 @@
         }
     }
 }
+
+/// Arrivals above the capacity for some time.
+#[derive(Debug, Clone, Copy)]
+struct Overload {
+    what: &'static str,
+    /// Arrivals as a multiple of the capacity, in the overload and after it.
+    load: f64,
+    load_after: f64,
+    lasts_ms: u64,
+    /// Longest mean wait of the refused requests, as a fraction of the time until the latest send.
+    max_held: f64,
+}
+
+/// When waiting requests are refused.
+#[derive(Debug, Clone, Copy)]
+enum GiveUp {
+    /// When their time is over.
+    Never,
+    /// As the queue says.
+    ByQueue,
+}
+
+#[derive(Debug)]
+struct Played {
+    /// Mean wait of the refused requests, as a fraction of the time until the latest send.
+    held: f64,
+    /// Users' worth of the sent requests: 1 in time, 0.1 late.
+    worth: f64,
+}
+
+/// Plays 12 s of requests with a target of 400 ms and a deadline of 1.2 s, each of which needs
+/// 100 ms of a server.
+fn play(case: &Overload, give_up: GiveUp) -> Played {
+    const SEND_INTERVAL_MS: u64 = 20;
+    const LATEST_START_MS: u64 = 270;
+    const LATEST_SEND_MS: u64 = 1140;
+    const END_MS: u64 = 12_000;
+    let mut queue = WaitQueue::default();
+    let mut waiting: Vec<(u64, Ticket, QueuedRequest)> = Vec::new();
+    let (mut arrived, mut worth, mut held_ms) = (0.0, 0.0, Vec::new());
+    for ms in 0..END_MS {
+        let in_overload = ms < case.lasts_ms;
+        let load = if in_overload {
+            case.load
+        } else {
+            case.load_after
+        };
+        arrived += load / SEND_INTERVAL_MS as f64;
+        if arrived >= 1.0 {
+            arrived -= 1.0;
+            let req = request(ms + LATEST_START_MS, 0);
+            waiting.push((ms, queue.push(at(ms), req), req));
+        }
+        let head = queue.head(at(ms));
+        if ms % SEND_INTERVAL_MS == 0
+            && let Some(i) = waiting.iter().position(|(_, t, _)| Some(*t) == head)
+        {
+            let (_, ticket, req) = waiting.remove(i);
+            queue.remove_sent(at(ms), ticket, &req);
+            queue.record_sent(at(ms));
+            worth += if req.latest_start >= at(ms) { 1.0 } else { 0.1 };
+        }
+        waiting.retain(|(since, ticket, req)| {
+            let latest_send = at(since + LATEST_SEND_MS);
+            let until = match give_up {
+                GiveUp::Never => latest_send,
+                GiveUp::ByQueue => queue.give_up_at(req, latest_send),
+            };
+            if at(ms) >= until {
+                held_ms.push(ms - since);
+                queue.remove(*ticket, req);
+            }
+            at(ms) < until
+        });
+    }
+    let refused = held_ms.len().max(1) as f64;
+    let held_ms: u64 = held_ms.iter().sum();
+    let held = held_ms as f64 / refused / LATEST_SEND_MS as f64;
+    Played { held, worth }
+}
+
+/// Guards against late requests that wait until their time is over, since all later arrivals go
+/// before them, and are refused without having been sent.
+#[test]
+fn requests_that_can_not_be_served_are_refused_soon() {
+    let cases = [
+        Overload {
+            what: "twice the capacity for 4 s",
+            load: 2.0,
+            load_after: 0.5,
+            lasts_ms: 4000,
+            max_held: 0.3,
+        },
+        Overload {
+            what: "one and a half times the capacity for 6 s",
+            load: 1.5,
+            load_after: 0.7,
+            lasts_ms: 6000,
+            max_held: 0.3,
+        },
+        Overload {
+            what: "a tenth too much",
+            load: 1.1,
+            load_after: 0.8,
+            lasts_ms: 5000,
+            max_held: 0.5,
+        },
+        Overload {
+            what: "a short burst",
+            load: 3.0,
+            load_after: 0.3,
+            lasts_ms: 300,
+            max_held: 0.5,
+        },
+    ];
+    for case in cases {
+        let (all_held, played) = (play(&case, GiveUp::Never), play(&case, GiveUp::ByQueue));
+        let what = case.what;
+        assert!(
+            played.held <= case.max_held,
+            "{what}: {played:?}, {all_held:?}"
+        );
+        // Few of the requests that are refused early could have been served.
+        assert!(
+            played.worth >= 0.97 * all_held.worth,
+            "{what}: {played:?}, {all_held:?}"
+        );
+    }
+}
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -18,7 +18,7 @@
 
 use super::probe::{ProbeResult, probe};
 use super::request::InboundRequest;
-use super::state::{Edge, ServerKey};
+use super::state::{Edge, ServerKey, ServerTable};
 
 /// Longest wait for the responses to probes; near servers answer within 2 ms.
 const MAX_PROBE_WAIT: Duration = Duration::from_millis(40);
@@ -109,6 +109,7 @@
                     && let Some(server) = servers.get_mut(key)
                 {
                     let upstream = Arc::clone(&server.upstream);
+                    position.leave_as_sent(&mut servers);
                     return (Ok(Target { key, upstream, cx }), probe_count);
                 }
                 probed.retain(|k| *k != key);
@@ -218,12 +219,19 @@
                         .mul_f32(MAX_WAIT_FRACTION);
                     if wait.is_some_and(|w| w > slack) {
                         self.queued.latest_start = now - Duration::from_micros(1);
+                        if now >= queue.order.give_up_at(&self.queued, latest_send) {
+                            return Err(RefusalReason::NoRoom);
+                        }
                     }
                     self.ticket = Some(queue.push(now, self.queued));
                     log_waiting(self.req, queue.order.len());
                     continue;
                 };
-                let mut wake_at = latest_send.min(now + STOP_CHECK_INTERVAL);
+                let give_up_at = queue.order.give_up_at(&self.queued, latest_send);
+                if now >= give_up_at {
+                    return Err(RefusalReason::NoRoom);
+                }
+                let mut wake_at = give_up_at.min(now + STOP_CHECK_INTERVAL);
                 if queue.order.head(now) == Some(*ticket) {
                     if now >= queue.probe_at {
                         return Ok(());
@@ -248,6 +256,15 @@
         self.pause_until(self.edge.now() + self.edge.placement().pause);
     }
 
+    /// Leaves the queue, since the request is sent.
+    fn leave_as_sent(&mut self, servers: &mut ServerTable) {
+        if let Some((ticket, _)) = self.ticket.take() {
+            let now = self.edge.now();
+            let queue = servers.queue(&self.req.service);
+            queue.remove_sent(now, ticket, &self.queued);
+        }
+    }
+
     /// Whether a request that is sent at `at` is expected to be answered in time. Otherwise the
     /// caller had better ask another daemon.
     fn can_wait_until(&self, at: Mono) -> bool {
--- a/cuminspreadd/src/edge/state/service_queue.rs
+++ b/cuminspreadd/src/edge/state/service_queue.rs
@@ -33,6 +33,12 @@
         self.wake(now);
     }
 
+    /// Removes a request that is sent and wakes the first of the rest.
+    pub fn remove_sent(&mut self, now: Mono, ticket: Ticket, queued: &QueuedRequest) {
+        self.order.remove_sent(now, ticket, queued);
+        self.remove(now, ticket, queued);
+    }
+
     /// Wakes the first request.
     pub fn wake(&mut self, now: Mono) {
         if let Some(waiter) = self.order.head(now).and_then(|t| self.waiters.get(&t)) {
