refusal: callers refused in an overload come back when it is likely to be over

What callers saw: a request that no server had room for was told to come back after half its processing time, 45 to 145 ms, in an overload of seconds.

Cause: the delay knew the processing time only. The queue knows for how long no late request has been sent, by which it refuses; the delay is now this time (at most 1 s with its spread), or half the processing time if that is longer.

Tried and reverted: to put repeats behind first tries. A repeat names less time left, but first tries of one route name anything from 0.85 to 1 of the longest, so there is no exact sign.

--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a service loses most or all of its servers, and hundreds of callers are refused
 //! within a second. If all retried at the same moment, they would be refused again, so the delays
-//! are spread evenly around the time after which capacity is expected.
+//! are spread evenly around the time after which capacity is expected. In a burst that lasts for
+//! seconds they would be refused again for as long as it lasts, so that time grows with its age.
 
 use std::time::Duration;
 
@@ -13,6 +14,9 @@
 const MIN_DELAY: Duration = Duration::from_millis(50);
 /// Longest delay; callers wait for at most a third of the time that they have left.
 const MAX_DELAY: Duration = Duration::from_secs(1);
+/// Shortest and longest delay as multiples of the expected time.
+const MIN_SPREAD: f64 = 0.5;
+const MAX_SPREAD: f64 = 1.5;
 /// Time that a daemon needs after its start to get the configuration.
 const CONFIGURATION_DELAY: Duration = Duration::from_millis(200);
 /// Time until a service without servers may have one again: one reporting interval of a server.
@@ -59,15 +63,29 @@
     }
 }
 
+/// State of the service of a refused request.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceState {
+    /// Usual processing time of the request.
+    pub processing_time: Duration,
+    /// Time for which no late request has been sent although requests wait.
+    pub late_blocked: Duration,
+}
+
 /// Random delay after which a refused caller may retry.
-///
-/// `processing_time` is the usual one of the request.
-pub fn retry_after(reason: RefusalReason, processing_time: Duration, rng: &mut Pcg32) -> Duration {
+pub fn retry_after(reason: RefusalReason, service: ServiceState, rng: &mut Pcg32) -> Duration {
     let expected = match reason {
         RefusalReason::NoConfiguration => CONFIGURATION_DELAY,
         RefusalReason::NoServer => REGISTRATION_DELAY,
-        // On average half of the running requests end within half the processing time.
-        RefusalReason::NoRoom => processing_time / 2,
+        // On average half of the running requests end within half the processing time. An overload
+        // is expected to last as long again as it has lasted, and a caller that comes back sooner
+        // would take the place of one that can still be served in time.
+        RefusalReason::NoRoom => {
+            let overload = service
+                .late_blocked
+                .min(MAX_DELAY.mul_f64(1.0 / MAX_SPREAD));
+            overload.max(service.processing_time / 2)
+        }
         // Not before the end; another daemon may have a server that takes the request sooner, so
         // the longest delay holds here, too.
         RefusalReason::Paused { left } => {
@@ -78,6 +96,6 @@
         RefusalReason::Stopping => MIN_DELAY,
         RefusalReason::Crashing => MAX_DELAY,
     };
-    let delay = expected.mul_f64(rng.random_range(0.5..1.5));
+    let delay = expected.mul_f64(rng.random_range(MIN_SPREAD..MAX_SPREAD));
     delay.clamp(MIN_DELAY, MAX_DELAY)
 }
--- a/cuminspread/src/coordination/wait_queue.rs
+++ b/cuminspread/src/coordination/wait_queue.rs
@@ -111,6 +111,14 @@
             .min(latest_send)
     }
 
+    /// Time for which no late request has been sent although requests wait.
+    pub fn late_blocked(&self, now: Mono) -> Duration {
+        if self.is_empty() {
+            return Duration::ZERO;
+        }
+        now.since(self.late_sent)
+    }
+
     /// Request to send next; moves requests that have become late behind those in time.
     pub fn head(&mut self, now: Mono) -> Option<Ticket> {
         while let Some(entry) = self.in_time.first_entry() {
--- a/cuminspread/tests/wait_queue.rs
+++ b/cuminspread/tests/wait_queue.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cuminspread::coordination::refusal::{RefusalReason, retry_after};
+use cuminspread::coordination::refusal::{RefusalReason, ServiceState, retry_after};
 use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket, WaitQueue};
 use cuminspread::state::time::Mono;
 use rand_pcg::Pcg32;
@@ -156,6 +156,7 @@
     struct Case {
         reason: RefusalReason,
         processing_ms: u64,
+        late_blocked_ms: u64,
         min_ms: u64,
         max_ms: u64,
     }
@@ -163,33 +164,54 @@
         Case {
             reason: RefusalReason::NoRoom,
             processing_ms: 300,
+            late_blocked_ms: 0,
             min_ms: 75,
             max_ms: 225,
         },
         Case {
             reason: RefusalReason::NoRoom,
             processing_ms: 30_000,
+            late_blocked_ms: 0,
             min_ms: 1000,
             max_ms: 1000,
         },
+        Case {
+            reason: RefusalReason::NoRoom,
+            processing_ms: 300,
+            late_blocked_ms: 400,
+            min_ms: 200,
+            max_ms: 600,
+        },
+        Case {
+            reason: RefusalReason::NoRoom,
+            processing_ms: 300,
+            late_blocked_ms: 9000,
+            min_ms: 300,
+            max_ms: 1000,
+        },
         Case {
             reason: RefusalReason::NoConfiguration,
             processing_ms: 0,
+            late_blocked_ms: 0,
             min_ms: 100,
             max_ms: 300,
         },
         Case {
             reason: RefusalReason::Stopping,
             processing_ms: 300,
+            late_blocked_ms: 9000,
             min_ms: 50,
             max_ms: 75,
         },
     ];
     let mut rng = Pcg32::new(1, 1);
     for case in cases {
-        let processing_time = Duration::from_millis(case.processing_ms);
+        let service = ServiceState {
+            processing_time: Duration::from_millis(case.processing_ms),
+            late_blocked: Duration::from_millis(case.late_blocked_ms),
+        };
         let delays: Vec<Duration> = (0..200)
-            .map(|_| retry_after(case.reason, processing_time, &mut rng))
+            .map(|_| retry_after(case.reason, service, &mut rng))
             .collect();
         let (shortest, longest) = (delays.iter().min(), delays.iter().max());
         assert!(
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cuminspread::coordination::placement::{AttemptEnd, PlacementContext};
-use cuminspread::coordination::refusal::{self, RefusalReason};
+use cuminspread::coordination::refusal::{self, RefusalReason, ServiceState};
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread_platform::headers::ResponseFields;
@@ -440,11 +440,14 @@
     }
     if history.possible_runs == 0 {
         let mut servers = edge.servers();
-        let time = servers.processing_time(&req.route);
+        let service = ServiceState {
+            processing_time: servers.processing_time(&req.route),
+            late_blocked: servers.queue(&req.service).order.late_blocked(edge.now()),
+        };
         return Reply::Refused {
             reason,
             detail,
-            retry_after: refusal::retry_after(reason, time, &mut servers.rng),
+            retry_after: refusal::retry_after(reason, service, &mut servers.rng),
         };
     }
     let status = if detail == "timeout" {
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminspread::coordination::refusal::{self, RefusalReason};
+use cuminspread::coordination::refusal::{self, RefusalReason, ServiceState};
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::upstream::exchange::{Chunk, Exchange};
@@ -483,7 +483,8 @@
             edge.metrics
                 .count_request(&Name::default(), "refused", label);
             log::warn!("event=request id={id} outcome=refused detail={label} sends=0");
-            let retry_after = refusal::retry_after(reason, Duration::ZERO, &mut edge.servers().rng);
+            let retry_after =
+                refusal::retry_after(reason, ServiceState::default(), &mut edge.servers().rng);
             refusal_response(reason, retry_after)
         }
     }
