control: a store that first names its era has lost nothing

What callers saw: during an upgrade (a store that begins to send its era, or a daemon that learned its servers from peers of an older format) a server that left in that moment stayed in use for 2.5 s longer, more than the drain bound allows.

Cause: the step from an unknown era to a known one was taken for a store that came back from a copy, after which missing entries count as lapsed. The catalog has an exception for unknown eras, which the window opened here made void.

Evidence: `restore::a_server_that_leaves_as_the_store_first_names_its_era_is_gone_at_once`; on the code before, all ten requests of the fleet went to the server 2 s after its entry was removed. It passes with the change.

Ruled out: no window after any change of era; a copy lacks live servers, see `a_live_server_that_the_copy_lacks_keeps_its_work`, which still passes.

Change: only a change from one known era to another counts as a restore.

--- a/cuminspreadd/src/edge/control/store.rs
+++ b/cuminspreadd/src/edge/control/store.rs
@@ -118,12 +118,14 @@
             let age = state.read_schedule.age(now).unwrap_or_default().as_millis();
             log::info!("event=store_regained last_read_ms={age}");
         }
-        // Also if the era was unknown, as that of revisions from peers of an older format.
-        let restored = !known.is_empty() && result.revision.era > known.era;
-        if restored {
+        // Also if the era was unknown, as that of revisions from peers of an older format or of a
+        // store that didn't name it.
+        let era_changed = !known.is_empty() && result.revision.era > known.era;
+        if era_changed {
             state.published_revisions.clear();
         }
-        if restored && known.era > 0 {
+        let restored = era_changed && known.era > 0;
+        if restored {
             let revision = result.revision;
             log::warn!("event=store_restored revision={revision} before={known}");
         }
--- a/cuminspreadd/tests/edge/restore.rs
+++ b/cuminspreadd/tests/edge/restore.rs
@@ -146,6 +146,34 @@
     drill.end();
 }
 
+/// A store that is upgraded names its era from then on; it has lost nothing.
+#[tokio::test]
+async fn a_server_that_leaves_as_the_store_first_names_its_era_is_gone_at_once() {
+    let fixture = Fixture::new(2, RouteRow::default()).await;
+    fixture.store.set_era_named(false);
+    let daemons = start_fleet(&fixture, 3).await;
+    let status = async || {
+        for daemon in &daemons {
+            let res = send(daemon, &ClientRequest::default()).await;
+            assert_eq!(res.status, 200);
+        }
+    };
+    status().await;
+    let servers = fixture.servers.iter();
+    let leaving = servers.max_by_key(|s| s.executed().len()).unwrap();
+    fixture.store.delete_server(leaving.id());
+    fixture.store.set_era_named(true);
+    sleep(UPDATE_BOUND).await;
+    let runs = leaving.executed().len();
+    for _ in 0..10 {
+        status().await;
+    }
+    assert_eq!(leaving.executed().len(), runs);
+    for daemon in daemons {
+        daemon.kill();
+    }
+}
+
 #[tokio::test]
 async fn a_live_server_that_the_copy_lacks_keeps_its_work() {
     let drill = Drill::start().await;
