fault-soak: no listener of the harness gets the port of a daemon that is down

The harness took free ports of 127.0.0.1, released them and gave them to the daemons. Servers that are started later, and the proxies in front of them, listen on ports of the same host, and may get that of a daemon that is killed or not yet started: this daemon can't start again, and its clients reach a server.

Change: each daemon listens on a host of its own, as its peers' address already was, and all share four ports.

--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -23,8 +23,8 @@
 const STOP_GRACE: Duration = Duration::from_secs(6);
 /// Time for which the store keeps an entry that is no longer written: three heartbeats.
 pub const ENTRY_TTL: Duration = Duration::from_millis(4500);
-/// Low 16 bits of the first daemon's peer address in 127.0.0.0/16.
-const FIRST_PEER_HOST: u16 = 10;
+/// Low 16 bits of the first daemon's address in 127.0.0.0/16.
+const FIRST_DAEMON_HOST: u16 = 10;
 /// Idle time-out of clients' connections in the configuration, in seconds.
 const IDLE_TIMEOUT_S: f64 = 15.0;
 
@@ -149,17 +149,11 @@
             let server = fleet.start_server().await?;
             fleet.servers.push(server);
         }
-        let mut ports = free_ports(3 * settings.daemons + 1)?.into_iter();
-        let mut next = || ports.next().context("no free port left");
-        // As on the platform, peers differ by their addresses and share one port.
-        let peer_port = next()?.port();
-        let peer = |i: usize| {
-            let [high, low] = (FIRST_PEER_HOST + i as u16).to_be_bytes();
-            SocketAddr::from(([127, 0, high, low], peer_port))
-        };
-        let seeds: Vec<String> = (0..3).map(|i| peer(i).to_string()).collect();
+        let [front_port, admin_port, ready_port, peer_port] = free_ports()?;
+        let seeds: Vec<String> = (0..3).map(|i| listener(i, peer_port).to_string()).collect();
         for i in 0..settings.daemons {
-            let (front, admin, ready, peer) = (next()?, next()?, next()?, peer(i));
+            let (front, peer) = (listener(i, front_port), listener(i, peer_port));
+            let (admin, ready) = (listener(i, admin_port), listener(i, ready_port));
             let text = format!(
                 "[daemon]\nname = vm-{i}\ndata_centre = here\n[listen]\nfront = {front}\nadmin = \
                  {admin}\nreadiness = {ready}\npeer = {peer}\n[store]\naddress = {}\n[peers]\n\
@@ -545,13 +539,23 @@
     }
 }
 
-/// Ports that are free now. They are chosen here because daemons must bind the same ports after
+/// Address of one of a daemon's listeners.
+///
+/// As on the platform, daemons differ by their hosts and share their ports. No other listener of
+/// this process is on these hosts, so that none gets the port of a daemon that is down.
+fn listener(daemon: usize, port: u16) -> SocketAddr {
+    let [high, low] = (FIRST_DAEMON_HOST + daemon as u16).to_be_bytes();
+    SocketAddr::from(([127, 0, high, low], port))
+}
+
+/// Ports that are free now on the first host of the daemons. They are chosen here because daemons must bind the same ports after
 /// each restart.
-fn free_ports(count: usize) -> anyhow::Result<Vec<SocketAddr>> {
-    let bound: Result<Vec<_>, _> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect();
+fn free_ports<const N: usize>() -> anyhow::Result<[u16; N]> {
+    let bound: Result<Vec<_>, _> = (0..N).map(|_| TcpListener::bind(listener(0, 0))).collect();
     let bound = bound.context("binding a free port on loopback")?;
-    let addresses: Result<Vec<_>, _> = bound.iter().map(TcpListener::local_addr).collect();
-    addresses.context("binding a free port on loopback")
+    let mut ports = [0; N];
+    for (port, listener) in ports.iter_mut().zip(&bound) {
+        *port = listener.local_addr()?.port();
+    }
+    Ok(ports)
 }
