wait_queue: a busy queue that sends all in time is no overload

What callers saw: with early refusals, a request that became late in a queue that had been busy for long was refused at once, although all before it had been sent in time and it would have been among the next.

Cause: the time without a late request being sent began when the queue last became non-empty, also if no late request had waited since.

Evidence: `the_first_late_request_of_a_busy_queue_waits` failed before (given up at 9.9 s, the moment it was late, where half of its time ends at 11.0 s) and passes now.

Change: the time begins with the first late request, and goes on while such requests are refused.

--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -68,7 +68,7 @@
 pub struct ServiceState {
     /// Usual processing time of the request.
     pub processing_time: Duration,
-    /// Time for which no late request has been sent although requests wait.
+    /// Time for which late requests have waited or been refused without any being sent.
     pub late_blocked: Duration,
 }
 
--- a/cuminspread/src/coordination/wait_queue.rs
+++ b/cuminspread/src/coordination/wait_queue.rs
@@ -52,8 +52,9 @@
     last_sent: Option<Mono>,
     /// Mean interval between sent requests.
     interval: Option<Duration>,
-    /// When a late request was last sent, or the queue last became non-empty.
-    late_sent: Mono,
+    /// Since when late requests have waited or been refused without any being sent; `None` if there
+    /// was none since a late request was sent or no request waited.
+    late_blocked_since: Option<Mono>,
 }
 
 impl WaitQueue {
@@ -69,17 +70,14 @@
 
     /// Adds a request; a late one goes behind all that are in time.
     pub fn push(&mut self, now: Mono, request: QueuedRequest) -> Ticket {
-        if self.is_empty() {
-            self.late_sent = now;
-        }
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        let requests = if request.latest_start >= now {
-            &mut self.in_time
+        let key = (request.sort_key(), ticket);
+        if request.latest_start >= now {
+            self.in_time.insert(key, request);
         } else {
-            &mut self.late
-        };
-        requests.insert((request.sort_key(), ticket), request);
+            self.insert_late(now, key, request);
+        }
         ticket
     }
 
@@ -89,34 +87,40 @@
         if self.in_time.remove(&key).is_none() {
             self.late.remove(&key);
         }
+        if self.is_empty() {
+            self.late_blocked_since = None;
+        }
     }
 
     /// Removes a request that is sent; has no effect if it doesn't wait.
     pub fn remove_sent(&mut self, now: Mono, ticket: Ticket, request: &QueuedRequest) {
         if self.late.remove(&(request.sort_key(), ticket)).is_some() {
-            self.late_sent = now;
+            self.late_blocked_since = (!self.late.is_empty()).then_some(now);
         }
         self.remove(ticket, request);
     }
 
+    fn insert_late(&mut self, now: Mono, key: (Mono, Ticket), request: QueuedRequest) {
+        self.late_blocked_since.get_or_insert(now);
+        self.late.insert(key, request);
+    }
+
     /// Time at which a request is refused if it still waits; not after `latest_send`.
     ///
     /// A late request is sent only when none in time waits. If none has been sent for some time,
     /// the next one is expected after the same time again, and a request that has less time left
     /// isn't held any longer.
     pub fn give_up_at(&self, request: &QueuedRequest, latest_send: Mono) -> Mono {
-        let half = latest_send.since(self.late_sent) / 2;
-        (self.late_sent + half)
+        let since = self.late_blocked_since.unwrap_or(request.latest_start);
+        (since + latest_send.since(since) / 2)
             .max(request.latest_start)
             .min(latest_send)
     }
 
-    /// Time for which no late request has been sent although requests wait.
+    /// Time for which late requests have waited or been refused without any being sent.
     pub fn late_blocked(&self, now: Mono) -> Duration {
-        if self.is_empty() {
-            return Duration::ZERO;
-        }
-        now.since(self.late_sent)
+        self.late_blocked_since
+            .map_or(Duration::ZERO, |since| now.since(since))
     }
 
     /// Request to send next; moves requests that have become late behind those in time.
@@ -126,7 +130,7 @@
                 return Some(entry.key().1);
             }
             let (key, request) = entry.remove_entry();
-            self.late.insert(key, request);
+            self.insert_late(now, key, request);
         }
         self.late.keys().next().map(|(_, ticket)| *ticket)
     }
--- a/cuminspread/tests/wait_queue.rs
+++ b/cuminspread/tests/wait_queue.rs
@@ -359,3 +359,23 @@
         );
     }
 }
+
+/// Guards against a busy queue in which all requests are sent in time being taken for an overload.
+#[test]
+fn the_first_late_request_of_a_busy_queue_waits() {
+    const DEADLINE_MS: u64 = 2000;
+    let mut queue = WaitQueue::default();
+    let mut before = None;
+    for ms in (0..10_000).step_by(50) {
+        let req = request(ms + 400, 0);
+        let ticket = queue.push(at(ms), req);
+        if let Some((ticket, req)) = before.replace((ticket, req)) {
+            queue.remove_sent(at(ms), ticket, &req);
+        }
+    }
+    let late = request(9_900, 0);
+    queue.push(at(10_000), late);
+    let give_up_at = queue.give_up_at(&late, at(10_000 + DEADLINE_MS));
+    assert_eq!(give_up_at, at(10_000 + DEADLINE_MS / 2));
+    assert_eq!(queue.late_blocked(at(10_300)), Duration::from_millis(300));
+}
