placement: a line says why a waiting request is refused early

A refusal of a request that waits had the detail `no_room` whether its time was over or an overload was likely to outlast it. `event=given_up` now names the time for which no late request has been sent, the time left and the length of the queue.

The whole daemon had no test of that refusal: `requests_that_no_server_has_room_for_are_not_held_to_their_deadline` has ten requests whose only server stays full.

--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -7,7 +7,7 @@
 use cuminspread::coordination::hold_off::{HoldOffCause, SendPermit};
 use cuminspread::coordination::placement::{self, LimitedServer, PlacementContext, Progress, Step};
 use cuminspread::coordination::refusal::RefusalReason;
-use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket};
+use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket, WaitQueue};
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::upstream::Upstream;
@@ -220,6 +220,7 @@
                     if wait.is_some_and(|w| w > slack) {
                         self.queued.latest_start = now - Duration::from_micros(1);
                         if now >= queue.order.give_up_at(&self.queued, latest_send) {
+                            log_given_up(self.req, &queue.order, now, latest_send);
                             return Err(RefusalReason::NoRoom);
                         }
                     }
@@ -229,6 +230,7 @@
                 };
                 let give_up_at = queue.order.give_up_at(&self.queued, latest_send);
                 if now >= give_up_at {
+                    log_given_up(self.req, &queue.order, now, latest_send);
                     return Err(RefusalReason::NoRoom);
                 }
                 let mut wake_at = give_up_at.min(now + STOP_CHECK_INTERVAL);
@@ -289,6 +291,16 @@
     log::info!("event=waits id={id} service={service} waiting={waiting}");
 }
 
+/// Logs that a waiting request is refused.
+fn log_given_up(req: &InboundRequest, queue: &WaitQueue, now: Mono, latest_send: Mono) {
+    let (id, service, waiting) = (&req.outbound.id, &req.service, queue.len());
+    log::info!(
+        "event=given_up id={id} service={service} waiting={waiting} late_blocked_ms={} left_ms={}",
+        queue.late_blocked(now).as_millis(),
+        latest_send.since(now).as_millis()
+    );
+}
+
 impl Drop for QueuePosition<'_> {
     fn drop(&mut self) {
         if let Some((ticket, _)) = self.ticket.take() {
--- a/cuminspreadd/tests/edge/placement.rs
+++ b/cuminspreadd/tests/edge/placement.rs
@@ -1,8 +1,11 @@
 //! Placement of requests: by reported load, on few connections, and by the weights of services.
 
+use std::time::{Duration, Instant};
+
 use cuminspread_platform::standin::client::ClientRequest;
 use cuminspread_platform::standin::server::{Behaviour, StandInServer};
 use cuminspread_platform::standin::store::{RouteRow, config_text};
+use futures_util::future::join_all;
 use serde_json::json;
 
 use crate::fixture::{Fixture, send, wait_for};
@@ -103,13 +106,38 @@
     let mut fixture = Fixture::new(2, RouteRow::default()).await;
     let daemon = fixture.start_daemon().await;
     fixture.servers.clear();
-    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-    let started_at = std::time::Instant::now();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let started_at = Instant::now();
     let res = send(&daemon, &ClientRequest::default()).await;
     assert_eq!(res.status, 503);
     assert!(res.field("retry-after").is_some());
     let took = started_at.elapsed();
-    assert!(took < std::time::Duration::from_millis(700), "{took:?}");
+    assert!(took < Duration::from_millis(700), "{took:?}");
+    daemon.kill();
+}
+
+/// The only server stays full: callers are refused while they have time left for another try.
+#[tokio::test]
+async fn requests_that_no_server_has_room_for_are_not_held_to_their_deadline() {
+    const REQUESTS: u32 = 10;
+    let timeout = Duration::from_secs_f64(RouteRow::default().timeout_s);
+    let fixture = Fixture::new(1, RouteRow::default()).await;
+    let daemon = fixture.start_daemon().await;
+    fixture.servers[0].set_running(400);
+    let requests = (0..REQUESTS).map(async |i| {
+        tokio::time::sleep(timeout / 20 * i).await;
+        let started_at = Instant::now();
+        let res = send(&daemon, &ClientRequest::default()).await;
+        (res, started_at.elapsed())
+    });
+    let mut held = Duration::ZERO;
+    for (res, took) in join_all(requests).await {
+        assert_eq!(res.status, 503, "{res:?}");
+        assert!(res.field("retry-after").is_some(), "{res:?}");
+        assert!(took < timeout.mul_f64(0.7), "{took:?}");
+        held += took;
+    }
+    assert!(held / REQUESTS < timeout / 2, "{held:?}");
     daemon.kill();
 }
 
@@ -130,8 +158,8 @@
             ..ClientRequest::default()
         };
         // Waits until the load report of the last response is no longer fresh.
-        tokio::time::sleep(std::time::Duration::from_millis(15)).await;
-        let started_at = std::time::Instant::now();
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        let started_at = Instant::now();
         assert_eq!(send(&daemon, &req).await.status, 200);
         slow += usize::from(started_at.elapsed().as_millis() > 600);
     }
