--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -81,9 +81,8 @@
         // is expected to last as long again as it has lasted, and a caller that comes back sooner
         // would take the place of one that can still be served in time.
         RefusalReason::NoRoom => {
-            let overload = service
-                .late_blocked
-                .min(MAX_DELAY.mul_f64(1.0 / MAX_SPREAD));
+            let longest = MAX_DELAY.div_f64(MAX_SPREAD);
+            let overload = service.late_blocked.min(longest);
             overload.max(service.processing_time / 2)
         }
         // Not before the end; another daemon may have a server that takes the request sooner, so
--- a/cuminspread/src/coordination/wait_queue.rs
+++ b/cuminspread/src/coordination/wait_queue.rs
@@ -52,8 +52,8 @@
     last_sent: Option<Mono>,
     /// Mean interval between sent requests.
     interval: Option<Duration>,
-    /// Since when late requests have waited or been refused without any being sent; `None` if there
-    /// was none since a late request was sent or no request waited.
+    /// Start of the time in which late requests have waited or been refused and none was sent; `None`
+    /// without late requests since one was sent or the queue was empty.
     late_blocked_since: Option<Mono>,
 }
 
