Test: the lost reader's TCP port stays taken

The reader that is killed in `reader_loss` held its UDP port only; a listener of another test could get the TCP port of the same number and answer the pull that must be refused, and gossip that is bound elsewhere could get that TCP port and then fail to bind the UDP port. No run is known to have failed by it.

Change: the TCP socket is bound without listening for as long as the reader lives. Checks and bounds are the same; both tests of the file passed twice after it.

--- a/cuminspreadd/tests/edge/reader_loss.rs
+++ b/cuminspreadd/tests/edge/reader_loss.rs
@@ -10,7 +10,7 @@
 use cuminspread_platform::standin::store::{RouteRow, config_text};
 use cuminspreadd::edge::admin::Status;
 use cuminspreadd::edge::run::EdgeDaemon;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpSocket, UdpSocket};
 use tokio::time::sleep;
 
 use crate::caller;
@@ -36,7 +36,9 @@
 
 /// Sockets of a reader that sends updates and answers no pull.
 enum Reader {
-    Killed(UdpSocket, SocketAddr),
+    /// The TCP socket is bound without listening: pulls are refused, and no other test gets the
+    /// port.
+    Killed(UdpSocket, TcpSocket),
     Dark(Gossip),
 }
 
@@ -45,9 +47,10 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         match loss {
             Loss::Killed => {
-                let socket = UdpSocket::bind(any).await.unwrap();
-                let address = socket.local_addr().unwrap();
-                Self::Killed(socket, address)
+                let tcp = TcpSocket::new_v4().unwrap();
+                tcp.bind(any).unwrap();
+                let udp = UdpSocket::bind(tcp.local_addr().unwrap()).await.unwrap();
+                Self::Killed(udp, tcp)
             }
             Loss::Dark => Self::Dark(Gossip::bind(any).await.unwrap()),
         }
@@ -66,7 +69,7 @@
         changes: Vec<RevisionedChange>,
     ) {
         let address = match self {
-            Self::Killed(_, address) => *address,
+            Self::Killed(_, tcp) => tcp.local_addr().unwrap(),
             Self::Dark(gossip) => gossip.local_addr().unwrap(),
         };
         let update = GossipMessage::StoreUpdate(Box::new(StoreUpdate {
@@ -87,9 +90,9 @@
         }));
         for daemon in fleet {
             match self {
-                Self::Killed(socket, _) => {
+                Self::Killed(udp, _) => {
                     let bytes = cuminspread::protocol::gossip::encode(&update).unwrap();
-                    socket.send_to(&bytes, daemon.peer()).await.unwrap();
+                    udp.send_to(&bytes, daemon.peer()).await.unwrap();
                 }
                 Self::Dark(gossip) => assert!(gossip.send(daemon.peer(), &update)),
             }
