edge: daemons know which services they don't reach, and log it

Change: servers that fail to answer raise a suspicion, a check opens new connections to three servers, and without an answer the service counts as lost until one answers. event=service_lost and service_found, cumin_services_lost, lost_services in /status. Requests are handled as before, but for one thing: servers that were avoided since they could not be reached are asked again as soon as one of them answers on a new connection.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -6,8 +6,8 @@
 //!
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
-//! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`] and [`refusal`] for requests.
-//! [`crash`] and [`retry`] serve both.
+//! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`] and [`refusal`] for
+//! requests. [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
@@ -29,6 +29,7 @@
 pub mod pool;
 pub mod probe;
 pub mod probe_limiter;
+pub mod reachability;
 pub mod reader;
 pub mod refusal;
 pub mod retry;
--- a/cuminspread/src/coordination/placement/server_state.rs
+++ b/cuminspread/src/coordination/placement/server_state.rs
@@ -227,6 +227,13 @@
         self.load = None;
     }
 
+    /// Stops avoiding the server for failures that were not its own.
+    pub fn forgive_failures(&mut self) {
+        self.consecutive_failures = 0;
+        self.avoid_until = Mono::default();
+        self.error_rate = DecayingMean::new(0.0);
+    }
+
     /// Records that a request was sent; the same `id` goes to [`ServerState::record_end`].
     pub fn record_sent(&mut self, id: u64, cx: &PlacementContext, settings: &PlacementSettings) {
         let expected = cx
--- a/cuminspreadd/src/edge.rs
+++ b/cuminspreadd/src/edge.rs
@@ -4,7 +4,7 @@
 //! servers from the store or from peers. [`ingress`] accepts callers' requests, [`call`] runs a
 //! request until it has a reply, [`placement`] chooses a server for an attempt, [`probe`] asks
 //! servers for their load, and [`attempt`] sends the request. [`crash`] finds requests that crash
-//! servers. [`state`] is what these modules share; the decisions are made in the library crate.
+//! servers, and [`reachability`] whether this daemon reaches any. [`state`] is what these modules share; the decisions are made in the library crate.
 
 pub mod admin;
 pub mod attempt;
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod placement;
 pub mod probe;
+pub mod reachability;
 pub mod request;
 pub mod run;
 pub mod settings;
--- a/cuminspreadd/src/edge/admin.rs
+++ b/cuminspreadd/src/edge/admin.rs
@@ -64,6 +64,9 @@
     pub failed_reads: u32,
     /// Daemons heard recently, this one included.
     pub daemons: usize,
+    /// Services of which this daemon reaches no server, sorted.
+    #[serde(default)]
+    pub lost_services: Vec<String>,
     /// Peers heard recently.
     pub peers: Vec<PeerStatus>,
     /// Servers, sorted by service and id.
@@ -190,6 +193,7 @@
     let servers = edge.servers();
     gauges.limited.set(servers.limited() as i64);
     gauges.paused.set(servers.paused(edge.now()) as i64);
+    gauges.lost.set(servers.lost_services().count() as i64);
     drop(servers);
     match edge.metrics.write() {
         Ok(text) => text.into_response(),
@@ -206,6 +210,9 @@
     let settings = edge.placement();
     let table = edge.table();
     let servers = edge.servers();
+    let lost = servers.lost_services().map(ToString::to_string);
+    let mut lost_services: Vec<String> = lost.collect();
+    lost_services.sort_unstable();
     let servers = servers.iter().map(|s| ServerStatus {
         id: s.entry.id.to_string(),
         service: s.entry.service.to_string(),
@@ -253,6 +260,7 @@
         reads_store: synced.reads_store,
         failed_reads: synced.failed_reads,
         daemons: synced.daemons,
+        lost_services,
         peers,
         servers,
     }
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -83,6 +83,9 @@
         let mut servers = edge.servers();
         let route = &self.req.route;
         servers.record_end(now, self.target.key, self.id, end, route, edge.placement());
+        if end == AttemptEnd::NoAnswer {
+            edge.reach_notice.notify_one();
+        }
     }
 }
 
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -80,6 +80,8 @@
     pub limited: Gauge,
     /// Servers that want nothing of this daemon for a time.
     pub paused: Gauge,
+    /// Services of which this daemon reaches no server.
+    pub lost: Gauge,
 }
 
 impl EdgeMetrics {
@@ -155,6 +157,11 @@
             "Servers that want nothing of this daemon for a time",
             gauges.paused.clone(),
         );
+        r.register(
+            "services_lost",
+            "Services of which this daemon reaches no server",
+            gauges.lost.clone(),
+        );
         Self {
             registry,
             requests,
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -10,7 +10,7 @@
 use cuminspread::coordination::wait_queue::{QueuedRequest, Ticket, WaitQueue};
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
-use cuminspread::transport::upstream::Upstream;
+use cuminspread::transport::upstream::{ConnectionChoice, Upstream};
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::Notify;
@@ -435,7 +435,7 @@
 async fn probe_servers(edge: &Arc<Edge>, keys: &[ServerKey], cx: &PlacementContext) {
     let tasks = keys
         .iter()
-        .map(|k| tokio::spawn(probe(Arc::clone(edge), *k)));
+        .map(|k| tokio::spawn(probe(Arc::clone(edge), *k, ConnectionChoice::Any)));
     let mut tasks: FuturesUnordered<_> = tasks.collect();
     let mut until = Instant::now() + MAX_PROBE_WAIT;
     // Later responses are still recorded, since each probe is a task of its own.
--- a/cuminspreadd/src/edge/probe.rs
+++ b/cuminspreadd/src/edge/probe.rs
@@ -30,16 +30,18 @@
     Answered,
     /// Another server answered at the address.
     Moved,
-    /// No valid response, or no connection to send the probe on.
+    /// No valid response.
     Failed,
+    /// The probe wasn't sent: the server is gone or this daemon has no connection left for it.
+    Unsent,
 }
 
 /// Probes a server and records its load or its failure.
-pub async fn probe(edge: Arc<Edge>, key: ServerKey) -> ProbeResult {
+pub async fn probe(edge: Arc<Edge>, key: ServerKey, choice: ConnectionChoice) -> ProbeResult {
     let Some((upstream, path, id)) = begin(&edge, key) else {
-        return ProbeResult::Failed;
+        return ProbeResult::Unsent;
     };
-    let probed = tokio::time::timeout(TIMEOUT, request_health(&upstream, &path)).await;
+    let probed = tokio::time::timeout(TIMEOUT, request_health(&upstream, &path, choice)).await;
     let now = edge.now();
     let mut servers = edge.servers();
     let Some(server) = servers.get_mut(key) else {
@@ -47,7 +49,7 @@
     };
     server.probed_since = None;
     let cause = match probed {
-        Ok(Ok(health)) if health.server.as_ref().is_none_or(|s| *s == id) => {
+        Ok(Ok((health, is_new_connection))) if health.server.as_ref().is_none_or(|s| *s == id) => {
             let service = server.entry.service.clone();
             servers.set_load_unknown(&service, health.load.is_none());
             if let Some(load) = health.load {
@@ -57,10 +59,13 @@
             if health.leaving && servers.record_leaving(key) || is_new {
                 edge.server_notice.notify_one();
             }
+            if is_new_connection {
+                servers.record_connected(now, key);
+            }
             edge.metrics.count_probe("answered");
             return ProbeResult::Answered;
         }
-        Ok(Ok(health)) => {
+        Ok(Ok((health, _))) => {
             server.moved_until = now + MOVED_SERVER_PAUSE;
             let other = health.server.unwrap_or_default();
             edge.metrics.count_probe("moved");
@@ -71,7 +76,7 @@
             return ProbeResult::Moved;
         }
         // This daemon's share of connections is in use, which is no failure of the server.
-        Ok(Err(e)) if e.step == transport::Step::ConnectionLimit => return ProbeResult::Failed,
+        Ok(Err(e)) if e.step == transport::Step::ConnectionLimit => return ProbeResult::Unsent,
         Ok(Err(e)) => e.to_string(),
         Err(_) => format!(
             "step=health peer={} cause=\"no response within 250 ms\"",
@@ -80,6 +85,8 @@
     };
     let before = server.state.consecutive_failures();
     server.state.record_failure(now, edge.placement());
+    servers.record_unanswered(key);
+    edge.reach_notice.notify_one();
     edge.metrics.count_probe("failed");
     if before == 0 {
         log::info!("event=server_silent server={id} {cause}");
@@ -99,8 +106,14 @@
     Some((Arc::clone(&server.upstream), path, server.entry.id.clone()))
 }
 
-async fn request_health(upstream: &Arc<Upstream>, path: &str) -> Result<Health, Failure> {
-    let conn = upstream.acquire(ConnectionChoice::Any).await?;
+/// Also returns whether the connection was new.
+async fn request_health(
+    upstream: &Arc<Upstream>,
+    path: &str,
+    choice: ConnectionChoice,
+) -> Result<(Health, bool), Failure> {
+    let conn = upstream.acquire(choice).await?;
+    let is_new = conn.meter().read() == 0;
     let mut req = Request::new(Full::new(Bytes::new()));
     *req.uri_mut() = path.parse().unwrap_or_default();
     if let Ok(host) = upstream.address().to_string().try_into() {
@@ -112,5 +125,5 @@
         return Err(exchange.failure("health check response larger than 4096 bytes"));
     }
     exchange.finish();
-    Ok(read_health(head.status, &head.headers))
+    Ok((read_health(head.status, &head.headers), is_new))
 }
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -11,6 +11,7 @@
 use super::admin;
 use super::control::Control;
 use super::ingress::{self, StopPhase};
+use super::reachability;
 use super::settings::EdgeSettings;
 use super::state::Edge;
 use crate::daemon::bind;
@@ -61,6 +62,7 @@
             ready_listener,
         )));
         tasks.push(tokio::spawn(sweep(Arc::clone(&edge))));
+        tasks.push(tokio::spawn(reachability::watch(Arc::clone(&edge))));
         let ingress = ingress::serve(Arc::clone(&edge), front_listener, phase_rx);
         let ingress = tokio::spawn(ingress);
         let (name, store) = (&edge.settings.name, edge.edge_settings.store);
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of one daemon share: active routes, servers and counters.
 
+mod reach;
 mod server_notices;
 mod service_queue;
 
@@ -18,6 +19,7 @@
     ServerLoad, ServerState,
 };
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
+use cuminspread::coordination::reachability::Reachability;
 use cuminspread::coordination::retry::TokenBucket;
 use cuminspread::coordination::weighted_round_robin::WeightedRoundRobin;
 use cuminspread::protocol::gossip::LimitReport;
@@ -30,6 +32,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
+pub use self::reach::ReachCheck;
 pub use self::server_notices::LimitSource;
 pub use self::service_queue::ServiceQueue;
 use super::crash::CrashTracker;
@@ -100,6 +103,8 @@
     /// Number hashed with server ids, so that each daemon has its own subset of the servers.
     subset_salt: u64,
     probe_limiter: ProbeLimiter,
+    /// Services some of whose servers failed to answer.
+    reach: HashMap<Name, Reachability>,
     /// What removed servers had asked of this daemon, with the starts of their incarnations.
     former_hold_offs: HashMap<Name, (u64, HoldOff)>,
     /// Reports of limits that peers don't have yet, and the times of the answers.
@@ -138,6 +143,8 @@
     first_known: Notify,
     /// Notified when a response has told something that peers need to know of its server.
     pub server_notice: Notify,
+    /// Notified when a server has failed to answer or a check of a service has ended.
+    pub reach_notice: Notify,
     in_flight: AtomicUsize,
     buffered: AtomicUsize,
 }
@@ -177,6 +184,7 @@
             registry_known: AtomicBool::new(false),
             first_known: Notify::new(),
             server_notice: Notify::new(),
+            reach_notice: Notify::new(),
             in_flight: AtomicUsize::new(0),
             buffered: AtomicUsize::new(0),
             settings,
@@ -353,6 +361,7 @@
             subset_sizes: HashMap::new(),
             subset_salt: seed,
             probe_limiter: ProbeLimiter::new(ProbeLimiterSettings::default()),
+            reach: HashMap::new(),
             former_hold_offs: HashMap::new(),
             limit_reports: Vec::new(),
             leaving: Vec::new(),
@@ -568,6 +577,9 @@
             .entry(server.entry.service.clone())
             .or_default();
         let time = server.state.record_end(now, id, end, slowdown, settings);
+        if end == AttemptEnd::NoAnswer {
+            self.record_unanswered(key);
+        }
         if let Some(time) = time {
             let mean = self.processing_time(route).as_secs_f32();
             let sample = time.as_secs_f32().clamp(mean * 0.2, mean * 3.0);
