Test: daemons that are cut off from all servers (fails)

From 3 s after the cut the cut daemons serve 0 of their first tries where connections are reset and 0 where they hang, the others all of them; where old connections live on, all are served (their few idle connections are enough for this load).

[servers] source, the source address of connections to servers, is new: it tells daemons of one host apart.

--- a/cuminspread/src/transport/upstream.rs
+++ b/cuminspread/src/transport/upstream.rs
@@ -15,7 +15,8 @@
 pub mod meter;
 
 use std::fmt;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
@@ -26,7 +27,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use self::meter::{Meter, MeteredStream};
 use crate::state::Name;
@@ -51,6 +52,8 @@
     pub max_head: usize,
     /// Maximum number of header fields of a response.
     pub max_headers: usize,
+    /// Source address of connections; `None` lets the system choose it.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for UpstreamSettings {
@@ -62,6 +65,7 @@
             max_idle: 16,
             max_head: 64 << 10,
             max_headers: DEFAULT_MAX_HEADERS,
+            source: None,
         }
     }
 }
@@ -289,7 +293,7 @@
 
     async fn open_new(self: &Arc<Self>) -> Result<Connection, Failure> {
         let guard = self.reserve()?;
-        let connect = TcpStream::connect(self.address);
+        let connect = self.connect();
         let stream = match tokio::time::timeout(self.settings.connect_timeout, connect).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(self.failure(Step::Connect, &e.to_string())),
@@ -320,6 +324,18 @@
         })
     }
 
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let Some(source) = self.settings.source else {
+            return TcpStream::connect(self.address).await;
+        };
+        let socket = match self.address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(self.address).await
+    }
+
     /// Counts a connection that is about to open; closes an idle one if the limit is reached.
     fn reserve(&self) -> Result<OpenGuard, Failure> {
         for _ in 0..2 {
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -9,7 +9,7 @@
 //! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
 //! | `peers` | `key`, `previous_key`, `seeds`, `first_start`, `core_share` |
 //! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
-//! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above` |
+//! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `source` |
 //! | `traces` | `otlp`, `file` |
 //! | `log` | `level`, `file`, `record` |
 //!
@@ -18,7 +18,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -224,6 +224,7 @@
             "max_head" => s.connections.max_head = number(value, 8192..=1 << 20)?,
             "max_headers" => s.connections.max_headers = number(value, 16..=1000)?,
             "stream_above" => s.stream_above = number(value, 0..=1 << 24)?,
+            "source" => s.connections.source = Some(ip(value)?),
             _ => return Err(unknown_key("servers")),
         }
         Ok(())
@@ -313,7 +314,7 @@
         }
         "servers" => {
             "connect_timeout_ms, live_window_ms, idle_timeout_ms, probe_timeout_ms, \
-             cancel_timeout_ms, max_head, max_headers, stream_above"
+             cancel_timeout_ms, max_head, max_headers, stream_above, source"
         }
         "traces" => "otlp, file",
         _ => "level, file, record",
@@ -352,6 +353,11 @@
         .ok_or_else(|| format!("{value:?} isn't an address; write IP:PORT, such as 10.0.0.1:8080"))
 }
 
+fn ip(value: &str) -> Result<IpAddr, String> {
+    let parsed = value.parse().ok();
+    parsed.ok_or_else(|| format!("{value:?} isn't an IP address; write one, such as 10.0.0.1"))
+}
+
 fn addresses(value: &str) -> Result<Vec<SocketAddr>, String> {
     let texts = value.split(',').map(str::trim).filter(|t| !t.is_empty());
     texts.map(address).collect()
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -6,6 +6,8 @@
 mod caller;
 #[path = "edge/crash.rs"]
 mod crash;
+#[path = "edge/cut_daemons.rs"]
+mod cut_daemons;
 #[path = "edge/fixture.rs"]
 mod fixture;
 #[path = "edge/leaving.rs"]
