forward: daemons that reach no server of a service forward its requests to peers

Cause: a daemon had one way to a server, its own. Readiness can't help: when most daemons of a data centre fail it, the platform uses all of them, and callers keep their open connections. The class of fault is a path that is taken for the server: each daemon judged servers by its own contacts, and none asked whether others reach them.

Change: a lost service's requests are offered to peers, over an internal listener (listen.forward), to up to four one after the other, near ones first unless most of those take none. A peer places or refuses what it gets, and never forwards it again; it takes nothing by a configuration older than the sender's, and nothing from hosts that aren't peers. Each response says whether the request has run; a peer that falls silent leaves the outcome unknown, and the request goes nowhere else. The ports spread by gossip, after the messages, so that older daemons ignore them. Callers' fields of these names are dropped. Requests are also forwarded before the loss is known, when placement finds no server.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -6,8 +6,8 @@
 //!
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
-//! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`] and [`refusal`] for
-//! requests. [`crash`] and [`retry`] serve both.
+//! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`],
+//! [`forwarding`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
@@ -17,6 +17,7 @@
 pub mod decaying_rate;
 pub mod dispatch;
 pub mod event;
+pub mod forwarding;
 pub mod hold_off;
 pub mod leaving;
 pub mod limits;
--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -81,6 +81,8 @@
     next_hello: Mono,
     /// Largest recent number of daemons, without those that have left, and when it was reached.
     largest_size: (usize, Mono),
+    /// Peers have come, changed or gone since [`Mesh::take_changed`].
+    changed: bool,
 }
 
 impl Mesh {
@@ -94,6 +96,7 @@
             rng: Pcg32::new(seed, 7),
             next_hello: Mono::default(),
             largest_size: (1, Mono::default()),
+            changed: false,
         };
         this.set_seeds(seeds);
         this
@@ -120,6 +123,11 @@
         self.peers.values().map(|p| &p.daemon)
     }
 
+    /// Whether peers have come, changed or gone since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Known part of the fleet, above 0 and up to 1: daemons that were lost without notice in the
     /// last ten minutes may run on in another partition.
     pub fn known_fraction(&mut self, now: Mono) -> f32 {
@@ -154,6 +162,7 @@
         let known = self.peers.get(&daemon.address);
         if known.is_some_and(|p| p.daemon.started_ms <= daemon.started_ms) {
             self.peers.remove(&daemon.address);
+            self.changed = true;
             self.largest_size.0 = self.largest_size.0.saturating_sub(1).max(1);
         }
     }
@@ -169,8 +178,10 @@
             return Vec::new();
         }
         let expire_after = self.settings.expire_after;
+        let before = self.peers.len();
         self.peers
             .retain(|_, p| now.since(p.last_heard) < expire_after);
+        self.changed |= self.peers.len() != before;
         if self.peers.is_empty() {
             self.next_hello = now + self.settings.search_interval;
             return self.seeds.clone();
@@ -293,6 +304,11 @@
         if let Some(known) = self.peers.get_mut(&daemon.address) {
             if known.daemon.started_ms == daemon.started_ms {
                 known.last_heard = known.last_heard.max(at);
+                // Daemons of older formats that name a peer leave its port out.
+                if daemon.forward_port != 0 && known.daemon.forward_port != daemon.forward_port {
+                    known.daemon.forward_port = daemon.forward_port;
+                    self.changed = true;
+                }
                 return false;
             }
             if known.daemon.started_ms > daemon.started_ms {
@@ -306,6 +322,7 @@
             last_heard: at,
         };
         self.peers.insert(daemon.address, peer);
+        self.changed = true;
         if self.size() >= self.largest_size.0 {
             self.largest_size = (self.size(), at);
         }
--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -46,6 +46,8 @@
     Stopping,
     /// Requests like this one crash the servers that run them.
     Crashing,
+    /// A peer forwarded it by a configuration that this daemon doesn't have yet.
+    Outdated,
 }
 
 impl RefusalReason {
@@ -59,6 +61,7 @@
             Self::Limited => "limited",
             Self::Stopping => "stopping",
             Self::Crashing => "crashing",
+            Self::Outdated => "outdated",
         }
     }
 }
@@ -75,7 +78,7 @@
 /// Random delay after which a refused caller may retry.
 pub fn retry_after(reason: RefusalReason, service: ServiceState, rng: &mut Pcg32) -> Duration {
     let expected = match reason {
-        RefusalReason::NoConfiguration => CONFIGURATION_DELAY,
+        RefusalReason::NoConfiguration | RefusalReason::Outdated => CONFIGURATION_DELAY,
         RefusalReason::NoServer => REGISTRATION_DELAY,
         // On average half of the running requests end within half the processing time. An overload
         // is expected to last as long again as it has lasted, and a caller that comes back sooner
--- a/cuminspread/src/protocol/gossip.rs
+++ b/cuminspread/src/protocol/gossip.rs
@@ -6,8 +6,9 @@
 //!
 //! [`encode`] appends an extension to a message: the sender's [`FORMAT`] and the era of the
 //! message's revisions. Daemons of format 1 neither send nor read it; their revisions have an
-//! unknown era, 0, and so are older than those of any known one. A later format may append more,
-//! which this one ignores.
+//! unknown era, 0, and so are older than those of any known one. Since format 4 the ports follow on
+//! which the daemons in the message take forwarded requests. A later format may append more, which
+//! this one ignores.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,7 +26,7 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
 /// Format of the messages that this daemon sends.
-pub const FORMAT: u8 = 3;
+pub const FORMAT: u8 = 4;
 
 /// What follows a message; only fields at the end may be added.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +45,12 @@
 
     /// Sets the era of all revisions.
     fn set_era(&mut self, era: u64);
+
+    /// Daemons in the message that are still running.
+    fn daemons(&self) -> Vec<&Daemon>;
+
+    /// The same daemons in the same order.
+    fn daemons_mut(&mut self) -> Vec<&mut Daemon>;
 }
 
 /// Encodes a message and its extension.
@@ -56,7 +63,10 @@
         format: FORMAT,
         era: message.era(),
     };
-    postcard::to_extend(&extension, postcard::to_stdvec(message)?)
+    let daemons = message.daemons().into_iter();
+    let ports: Vec<u16> = daemons.map(|d| d.forward_port).collect();
+    let bytes = postcard::to_extend(&extension, postcard::to_stdvec(message)?)?;
+    postcard::to_extend(&ports, bytes)
 }
 
 /// Decodes a message of any format.
@@ -66,9 +76,16 @@
 /// Fails if the bytes don't begin with a valid message, or an extension is incomplete.
 pub fn decode<T: Message>(bytes: &[u8]) -> postcard::Result<T> {
     let (mut message, rest) = postcard::take_from_bytes::<T>(bytes)?;
+    if rest.is_empty() {
+        return Ok(message);
+    }
+    let (extension, rest) = postcard::take_from_bytes::<Extension>(rest)?;
+    message.set_era(extension.era);
     if !rest.is_empty() {
-        let (extension, _) = postcard::take_from_bytes::<Extension>(rest)?;
-        message.set_era(extension.era);
+        let (ports, _) = postcard::take_from_bytes::<Vec<u16>>(rest)?;
+        for (daemon, port) in message.daemons_mut().into_iter().zip(ports) {
+            daemon.forward_port = port;
+        }
     }
     Ok(message)
 }
@@ -86,9 +103,19 @@
     /// Size of its VM relative to other VMs, in any unit; larger ones are preferred as readers of
     /// the store and as relays.
     pub capacity: u16,
+    /// Port of its address on which it takes requests that peers forward; 0 if it takes none.
+    /// Since format 4, after the message.
+    #[serde(skip)]
+    pub forward_port: u16,
 }
 
 impl Daemon {
+    /// Address for requests that peers forward; `None` if it takes none.
+    pub fn forward_address(&self) -> Option<SocketAddr> {
+        let address = SocketAddr::new(self.address.ip(), self.forward_port);
+        (self.forward_port != 0).then_some(address)
+    }
+
     /// Rank as reader of the store: of two readers, the one with the higher rank stops.
     ///
     /// The largest capacity ranks lowest, then the lowest address; an IPv6 address counts with its
@@ -304,6 +331,24 @@
             }
         }
     }
+
+    fn daemons(&self) -> Vec<&Daemon> {
+        match self {
+            Self::Hello(daemon) => vec![daemon],
+            Self::Peers(peers) => peers.iter().map(|p| &p.daemon).collect(),
+            Self::StoreUpdate(update) => vec![&update.reader],
+            _ => Vec::new(),
+        }
+    }
+
+    fn daemons_mut(&mut self) -> Vec<&mut Daemon> {
+        match self {
+            Self::Hello(daemon) => vec![daemon],
+            Self::Peers(peers) => peers.iter_mut().map(|p| &mut p.daemon).collect(),
+            Self::StoreUpdate(update) => vec![&mut update.reader],
+            _ => Vec::new(),
+        }
+    }
 }
 
 impl Message for PullRequest {
@@ -314,6 +359,14 @@
     fn set_era(&mut self, era: u64) {
         self.have.revision.era = era;
     }
+
+    fn daemons(&self) -> Vec<&Daemon> {
+        Vec::new()
+    }
+
+    fn daemons_mut(&mut self) -> Vec<&mut Daemon> {
+        Vec::new()
+    }
 }
 
 impl Message for PullResponse {
@@ -337,4 +390,12 @@
             None => {}
         }
     }
+
+    fn daemons(&self) -> Vec<&Daemon> {
+        self.peers.iter().map(|p| &p.daemon).collect()
+    }
+
+    fn daemons_mut(&mut self) -> Vec<&mut Daemon> {
+        self.peers.iter_mut().map(|p| &mut p.daemon).collect()
+    }
 }
--- a/cuminspread/src/protocol/header.rs
+++ b/cuminspread/src/protocol/header.rs
@@ -12,6 +12,12 @@
 pub const DEPTH: &str = "cumin-depth";
 /// Retries and hedges that a chain of calls may still make.
 pub const RETRY_BUDGET: &str = "cumin-retry-budget";
+/// Why a request has not run, on responses to peers.
+pub const REASON: &str = "cumin-reason";
+/// Version of the configuration by which a daemon forwards a request.
+pub const VERSION: &str = "cumin-version";
+/// Service that a daemon chose for a request that it forwards.
+pub const SERVICE: &str = "cumin-service";
 /// Load report of a server, on its responses; see [`format_load`].
 pub const LOAD: &str = "cumin-load";
 /// Identifier of one attempt, sent to the server; a cancellation names the attempt by it.
--- a/cuminspread/tests/gossip_format.rs
+++ b/cuminspread/tests/gossip_format.rs
@@ -5,8 +5,8 @@
 
 use cuminspread::coordination::catalog::{Change, Revision, RevisionedChange};
 use cuminspread::protocol::gossip::{
-    Daemon, GossipMessage, PullRequest, PullResponse, RegistryUpdate, StoreUpdate, Versions,
-    decode, encode,
+    Daemon, GossipMessage, KnownPeer, MAX_DATAGRAM_BYTES, PullRequest, PullResponse,
+    RegistryUpdate, StoreUpdate, Versions, decode, encode,
 };
 use cuminspread::state::Name;
 
@@ -33,6 +33,7 @@
         data_centre: Name::new("a"),
         started_ms: 5,
         capacity: 10,
+        forward_port: 0,
     };
     GossipMessage::StoreUpdate(Box::new(StoreUpdate {
         reader: daemon,
@@ -89,6 +90,34 @@
     assert_eq!(decode::<PullRequest>(&bytes).unwrap(), request(0));
 }
 
+fn peers(forward_port: u16) -> GossipMessage {
+    let names = ["helsestasjon", "skolesenter"];
+    let peers = (0..33).map(|i: u8| KnownPeer {
+        daemon: Daemon {
+            address: SocketAddr::from(([10, 2, 0, i], 17200)),
+            data_centre: Name::new(names[usize::from(i) % 2]),
+            started_ms: 1_789_078_887_014,
+            capacity: 500,
+            forward_port,
+        },
+        age: 300,
+    });
+    GossipMessage::Peers(peers.collect())
+}
+
+#[test]
+fn ports_for_forwarded_requests_follow_the_message() {
+    let bytes = encode(&peers(17215)).unwrap();
+    assert_eq!(decode::<GossipMessage>(&bytes).unwrap(), peers(17215));
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    let read: GossipMessage = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read, peers(0), "format 1 ignores them");
+    // Format 3 has an extension without ports: two bytes here.
+    let message = postcard::to_stdvec(&peers(0)).unwrap();
+    let bytes = &bytes[..message.len() + 2];
+    assert_eq!(decode::<GossipMessage>(bytes).unwrap(), peers(0));
+}
+
 #[test]
 fn revisions_of_an_unknown_era_are_older_than_those_of_a_known_one() {
     let unknown = Revision {
--- a/cuminspread/tests/mesh.rs
+++ b/cuminspread/tests/mesh.rs
@@ -22,6 +22,7 @@
         started_ms,
         // Two large VMs in each data centre.
         capacity: if i < 2 * data_centres { 50 } else { 10 },
+        forward_port: 0,
     }
 }
 
--- a/cuminspread/tests/server_limit.rs
+++ b/cuminspread/tests/server_limit.rs
@@ -72,6 +72,7 @@
             data_centre: Name::new(format!("dc-{}", i % 3)),
             started_ms: 1,
             capacity: 10,
+            forward_port: 0,
         };
         Self {
             now: Mono(0),
--- a/cuminspreadd/src/edge.rs
+++ b/cuminspreadd/src/edge.rs
@@ -4,13 +4,15 @@
 //! servers from the store or from peers. [`ingress`] accepts callers' requests, [`call`] runs a
 //! request until it has a reply, [`placement`] chooses a server for an attempt, [`probe`] asks
 //! servers for their load, and [`attempt`] sends the request. [`crash`] finds requests that crash
-//! servers, and [`reachability`] whether this daemon reaches any. [`state`] is what these modules share; the decisions are made in the library crate.
+//! servers, and [`reachability`] whether this daemon reaches any; if
+//! not, [`forward`] asks peers. [`state`] is what these modules share; the decisions are made in the library crate.
 
 pub mod admin;
 pub mod attempt;
 pub mod call;
 pub mod control;
 pub mod crash;
+pub mod forward;
 pub mod ingress;
 pub mod metrics;
 pub mod placement;
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -4,6 +4,7 @@
 //! cancelled, unless it isn't idempotent and a server may already have it: cancelling it then could
 //! leave an order half done.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,12 +20,13 @@
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::attempt::{AttemptResult, BROKEN, send};
 use super::crash;
+use super::forward::forward;
 use super::placement::{Target, place};
-use super::request::{InboundRequest, Reply};
+use super::request::{InboundRequest, Origin, Reply};
 use super::state::{Edge, LimitSource, MOVED_SERVER_PAUSE, ServerKey};
 
 /// Attempts of one request, including those that are proven not to have run, which the route's
@@ -53,6 +55,8 @@
     server: Name,
     /// Whether that server is in the own data centre.
     near: bool,
+    /// Last peer that the request was offered to.
+    peer: Option<SocketAddr>,
     /// Time until the first attempt.
     waited: Option<Duration>,
     /// Slowness that the last server reported, and the age of that report.
@@ -154,6 +158,11 @@
     history: &mut History,
     attempts: &mut Attempts<'a>,
 ) -> Reply {
+    if req.origin == Origin::Caller && edge.servers().is_lost(&req.service) {
+        return forward_or_refuse(edge, req, committed, history).await;
+    }
+    edge.servers()
+        .deposit_retry(&req.service, &edge.edge_settings);
     let mut fallback = None;
     let mut hedge_at: Option<Instant> = None;
     let mut placement = pin!(OptionFuture::from(Some(place(edge, req, Vec::new()))));
@@ -173,6 +182,13 @@
                         attempts.push(Box::pin(run_attempt(attempt)));
                     }
                     Err(_) if !attempts.is_empty() => {}
+                    Err(RefusalReason::NoServer)
+                        if req.origin == Origin::Caller
+                            && history.possible_runs == 0
+                            && fallback.is_none() =>
+                    {
+                        return forward_or_refuse(edge, req, committed, history).await;
+                    }
                     Err(reason) => return final_reply(
                         edge, req, history, fallback, reason, "unplaced",
                     ),
@@ -223,6 +239,26 @@
     }
 }
 
+/// Offers a request to peers, since this daemon has no server for it.
+async fn forward_or_refuse(
+    edge: &Edge,
+    req: &InboundRequest,
+    committed: &AtomicBool,
+    history: &mut History,
+) -> Reply {
+    let until = edge.instant(req.respond_by);
+    let offered = forward(edge, req, committed, &mut history.peer);
+    match timeout_at(until, offered).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(reason)) => final_reply(edge, req, history, None, reason, "not_taken"),
+        Err(_) if committed.load(Ordering::Relaxed) => Reply::Failed {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            detail: "timeout",
+        },
+        Err(_) => final_reply(edge, req, history, None, RefusalReason::NoRoom, "timeout"),
+    }
+}
+
 fn start_attempt<'a>(
     edge: &'a Arc<Edge>,
     req: &'a InboundRequest,
@@ -479,6 +515,7 @@
         Some(Reply::Failed { status, detail }) => ("failed", *status, *detail, *detail),
         None => ("caller_left", StatusCode::OK, "caller_left", "caller_left"),
     };
+    let peer = history.peer.map(|p| p.to_string()).unwrap_or_default();
     edge.metrics.count_request(&req.service, outcome, detail);
     edge.metrics.observe(&req.service, took);
     let level = match outcome {
@@ -487,15 +524,17 @@
     };
     log::log!(
         level,
-        "event=request id={} route={} version={} service={} server={} near={} outcome={outcome} \
-         status={} detail={detail} last={last} sends={} runs={} hedges={} looks={} waited_us={} \
+        "event=request id={} route={} version={} from={} service={} server={} near={} peer={} \
+         outcome={outcome} status={} detail={detail} last={last} sends={} runs={} hedges={} looks={} waited_us={} \
          took_us={} slowness={:.2} report_age_us={}",
         req.outbound.id,
         req.route.name,
         req.version,
+        req.origin.label(),
         req.service,
         history.server,
         history.near,
+        peer,
         status.as_u16(),
         history.attempts,
         history.possible_runs,
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -15,6 +15,7 @@
 
 use anyhow::Context as _;
 use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
+use cuminspread::coordination::forwarding::ForwardPeer;
 use cuminspread::coordination::leaving::{LeavingServers, LeavingSource};
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
@@ -108,10 +109,12 @@
 impl Control {
     /// Binds the sockets for peers and sets up the store's client.
     ///
+    /// Peers are told to forward requests to `forward_port`; 0 for none.
+    ///
     /// # Errors
     ///
     /// Fails if a socket can't be bound or the store's client can't be set up.
-    pub async fn bind(edge: Arc<Edge>) -> anyhow::Result<Arc<Self>> {
+    pub async fn bind(edge: Arc<Edge>, forward_port: u16) -> anyhow::Result<Arc<Self>> {
         let (settings, edge_settings) = (&edge.settings, &edge.edge_settings);
         let gossip = Gossip::bind(settings.peer).await;
         let gossip = gossip.with_context(|| format!("step=bind_peer peer={}", settings.peer))?;
@@ -123,6 +126,7 @@
             data_centre: settings.data_centre.clone(),
             started_ms: edge.started_ms,
             capacity: edge_settings.capacity,
+            forward_port,
         };
         let is_seed = edge_settings.seeds.contains(&address);
         let first = if is_seed && edge_settings.first_start || edge_settings.seeds.is_empty() {
@@ -398,6 +402,10 @@
         let expired = state.catalog.expire(now);
         let confirmed = state.catalog.confirm_restored(now);
         let daemons = state.mesh.size();
+        if state.mesh.take_changed() {
+            let peers = forward_peers(&state.mesh);
+            self.edge.forward_pool().set_peers(peers);
+        }
         state.read_schedule.set_daemons(daemons);
         if let Some(limit) = state.read_schedule.begin(now) {
             if state.read_schedule.role() == Role::Follower {
@@ -486,6 +494,20 @@
     }
 }
 
+/// Peers that take forwarded requests.
+fn forward_peers(mesh: &Mesh) -> Vec<ForwardPeer> {
+    let near = &mesh.me().data_centre;
+    let peers = mesh.daemons().filter_map(|daemon| {
+        Some(ForwardPeer {
+            address: daemon.forward_address()?,
+            started_ms: daemon.started_ms,
+            near: daemon.data_centre == *near,
+            capacity: daemon.capacity,
+        })
+    });
+    peers.collect()
+}
+
 /// State of gossip and of reads of the store, for operators.
 #[derive(Debug, Clone)]
 pub struct ControlStatus {
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -6,6 +6,7 @@
 //! response when the caller closes the connection.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -13,6 +14,7 @@
 
 use bytes::Bytes;
 use cuminspread::coordination::refusal::{self, RefusalReason, ServiceState};
+use cuminspread::protocol::header::Outcome;
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::upstream::exchange::{Chunk, Exchange};
@@ -35,7 +37,8 @@
 
 use super::attempt::{OutboundRequest, forwarded};
 use super::call;
-use super::request::{InboundRequest, Reply};
+use super::forward::{mark_response, take_fields};
+use super::request::{InboundRequest, Origin, Reply};
 use super::state::Edge;
 use crate::body_buffer::BodyBuffer;
 use crate::framing::{InspectedStream, RequestPrefix};
@@ -82,7 +85,12 @@
 }
 
 /// Accepts connections until the phase is [`StopPhase::Closed`], then waits for them to end.
-pub async fn serve(edge: Arc<Edge>, listener: TcpListener, mut phase: watch::Receiver<StopPhase>) {
+pub async fn serve(
+    edge: Arc<Edge>,
+    listener: TcpListener,
+    mut phase: watch::Receiver<StopPhase>,
+    origin: Origin,
+) {
     let mut connections = JoinSet::new();
     let limit = edge.settings.callers.max_connections;
     loop {
@@ -96,8 +104,17 @@
             _ = phase.wait_for(|p| *p == StopPhase::Closed) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(serve_connection(Arc::clone(&edge), stream, phase.clone()));
+            Ok((stream, client)) => {
+                let sender = Sender {
+                    origin,
+                    host: client.ip(),
+                };
+                connections.spawn(serve_connection(
+                    Arc::clone(&edge),
+                    stream,
+                    phase.clone(),
+                    sender,
+                ));
             }
             Err(e) => {
                 log::warn!("event=accept_failed cause={e:?}");
@@ -113,6 +130,7 @@
     edge: Arc<Edge>,
     stream: TcpStream,
     mut phase: watch::Receiver<StopPhase>,
+    sender: Sender,
 ) {
     let _ = stream.set_nodelay(true);
     let max_head = edge.table().routing().limits.max_head.max(MIN_HEAD_BYTES);
@@ -137,7 +155,7 @@
                     edge: &edge,
                     activity: &activity,
                 };
-                let res = respond(&edge, req, &prefix, &phase).await;
+                let res = respond(&edge, req, &prefix, &phase, sender).await;
                 Ok::<_, Infallible>(res)
             }
         })
@@ -208,12 +226,21 @@
     req: Request<Incoming>,
     prefix: &RequestPrefix,
     phase: &watch::Receiver<StopPhase>,
+    sender: Sender,
 ) -> HttpResponse {
     let at_arrival = *phase.borrow();
-    let mut res = match handle(edge, req, prefix, at_arrival).await {
+    let handled = handle(edge, req, prefix, at_arrival, sender).await;
+    let (outcome, reason) = match &handled {
+        Ok(reply) => (reply.outcome(), reply.reason()),
+        Err(rejection) => (Outcome::NotRun, rejection.reason()),
+    };
+    let mut res = match handled {
         Ok(reply) => reply_response(reply),
         Err(rejection) => rejection_response(edge, rejection),
     };
+    if sender.origin == Origin::Peer {
+        mark_response(res.headers_mut(), outcome, reason);
+    }
     if *phase.borrow() != StopPhase::Serving {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
@@ -232,11 +259,29 @@
     Refused(Name, RefusalReason),
 }
 
+impl Rejection {
+    fn reason(&self) -> &'static str {
+        match self {
+            Self::Bad(_, reason) => reason,
+            Self::NoRoute(_) => "no_route",
+            Self::Refused(_, reason) => reason.label(),
+        }
+    }
+}
+
+/// Who sent a request, and from where.
+#[derive(Debug, Clone, Copy)]
+struct Sender {
+    origin: Origin,
+    host: IpAddr,
+}
+
 async fn handle(
     edge: &Arc<Edge>,
-    req: Request<Incoming>,
+    mut req: Request<Incoming>,
     prefix: &RequestPrefix,
     phase: StopPhase,
+    sender: Sender,
 ) -> Result<Reply, Rejection> {
     let arrived = edge.now();
     let in_flight = edge.track_request();
@@ -251,25 +296,41 @@
     let fields = read_request(req.headers());
     let fields = fields.ok_or(Rejection::Bad(StatusCode::BAD_REQUEST, "no_identity"))?;
     let id = fields.id;
-    if phase == StopPhase::Closed {
+    // Only a peer's request may have these; a caller's are dropped.
+    let fields_of_peer = take_fields(req.headers_mut());
+    let from_peer = (sender.origin == Origin::Peer).then_some(fields_of_peer);
+    if from_peer.is_some() && !edge.forward_pool().peers.has_host(sender.host) {
+        return Err(Rejection::Bad(StatusCode::FORBIDDEN, "not_a_peer"));
+    }
+    let stops = match sender.origin {
+        Origin::Caller => phase == StopPhase::Closed,
+        Origin::Peer => phase != StopPhase::Serving,
+    };
+    if stops {
         return Err(Rejection::Refused(id, RefusalReason::Stopping));
     }
-    let longest = fields.timeout.map(|t| t / START_HOLD_DIVISOR);
-    let known_by = Mono::default() + START_HOLD;
-    edge.wait_known(longest.map_or(known_by, |l| known_by.min(arrived + l)))
-        .await;
+    if from_peer.is_none() {
+        let longest = fields.timeout.map(|t| t / START_HOLD_DIVISOR);
+        let known_by = Mono::default() + START_HOLD;
+        edge.wait_known(longest.map_or(known_by, |l| known_by.min(arrived + l)))
+            .await;
+    }
     let table = edge.table();
     let version = table.routing().version;
     if version == 0 {
         return Err(Rejection::Refused(id, RefusalReason::NoConfiguration));
     }
+    if from_peer.as_ref().is_some_and(|f| f.version > version) {
+        return Err(Rejection::Refused(id, RefusalReason::Outdated));
+    }
     let host = req.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = host.or_else(|| req.uri().host()).unwrap_or_default();
     let route = table.find(host, req.uri().path());
     let route = Arc::clone(route.ok_or_else(|| Rejection::NoRoute(id.clone()))?);
-    let service = edge.servers().pick_service(&route);
+    let chosen = from_peer.map(|f| f.service);
+    let chosen = chosen.filter(|s| route.services.iter().any(|r| r.service == *s));
+    let service = chosen.or_else(|| edge.servers().pick_service(&route));
     let service = service.ok_or_else(|| Rejection::Refused(id.clone(), RefusalReason::NoServer))?;
-    edge.servers().deposit_retry(&service, &edge.edge_settings);
     let (head, body) = req.into_parts();
     let caller_timeout = fields.timeout.map(|t| t.saturating_sub(response_margin(t)));
     let time = caller_timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -281,6 +342,7 @@
     let (body, buffered) = read_body(edge, body, &limits, &id).await?;
     let target = head.uri.path_and_query().cloned();
     let inbound = InboundRequest {
+        origin: sender.origin,
         outbound: OutboundRequest {
             id,
             method: head.method,
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -40,6 +40,13 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ForwardLabels {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
 type NewHistogram = fn() -> Histogram;
 
 /// Metrics of one daemon.
@@ -48,6 +55,7 @@
     requests: Family<RequestLabels, Counter>,
     latency: Family<ServiceLabels, Histogram, NewHistogram>,
     probes: Family<ResultLabels, Counter>,
+    forwarded: Family<ForwardLabels, Counter>,
     store_reads: Family<ResultLabels, Counter>,
     /// Values that are set just before the metrics are written.
     pub gauges: Gauges,
@@ -93,6 +101,7 @@
         let requests = Family::<RequestLabels, Counter>::default();
         let latency = Family::new_with_constructor(new_histogram);
         let probes = Family::<ResultLabels, Counter>::default();
+        let forwarded = Family::<ForwardLabels, Counter>::default();
         let store_reads = Family::<ResultLabels, Counter>::default();
         let gauges = Gauges::default();
         let r = &mut registry;
@@ -100,6 +109,7 @@
         let help = "Time from arrival to the final answer";
         r.register_with_unit("request", help, Unit::Seconds, latency.clone());
         r.register("looks", "Questions for a server's load", probes.clone());
+        r.register("forwarded", "Requests offered to peers", forwarded.clone());
         r.register(
             "store_reads",
             "Reads of the platform's store",
@@ -167,6 +177,7 @@
             requests,
             latency,
             probes,
+            forwarded,
             store_reads,
             gauges,
         }
@@ -197,6 +208,12 @@
         self.probes.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a request that was offered to a peer.
+    pub fn count_forwarded(&self, outcome: &'static str, reason: &'static str) {
+        let labels = ForwardLabels { outcome, reason };
+        self.forwarded.get_or_create(&labels).inc();
+    }
+
     /// Counts a read of the store.
     pub fn count_read(&self, result: &'static str) {
         self.store_reads
--- a/cuminspreadd/src/edge/request.rs
+++ b/cuminspreadd/src/edge/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cuminspread::coordination::refusal::RefusalReason;
+use cuminspread::protocol::header::Outcome;
 use cuminspread::state::Name;
 use cuminspread::state::routing::Route;
 use cuminspread::state::time::Mono;
@@ -15,9 +16,30 @@
 use super::attempt::OutboundRequest;
 use super::state::InFlightGuard;
 
+/// Who sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// A peer, which forwards it for its caller.
+    Peer,
+}
+
+impl Origin {
+    /// Value of `from` in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// A request whose body has been read completely.
 #[derive(Debug)]
 pub struct InboundRequest {
+    /// Who sent it; a peer's request isn't forwarded again.
+    pub origin: Origin,
     /// The request as it is sent to servers.
     pub outbound: OutboundRequest,
     /// Route that matched.
@@ -60,3 +82,23 @@
         detail: &'static str,
     },
 }
+
+impl Reply {
+    /// What is known of the request's execution.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Buffered(..) | Self::Streaming(..) => Outcome::Ran,
+            Self::Refused { .. } => Outcome::NotRun,
+            Self::Failed { .. } => Outcome::Unknown,
+        }
+    }
+
+    /// Label of the outcome's reason.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Buffered(..) | Self::Streaming(..) => "answer",
+            Self::Refused { reason, .. } => reason.label(),
+            Self::Failed { detail, .. } => detail,
+        }
+    }
+}
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -12,6 +12,7 @@
 use super::control::Control;
 use super::ingress::{self, StopPhase};
 use super::reachability;
+use super::request::Origin;
 use super::settings::EdgeSettings;
 use super::state::Edge;
 use crate::daemon::bind;
@@ -36,6 +37,7 @@
     front: SocketAddr,
     admin: SocketAddr,
     readiness: SocketAddr,
+    forward: Option<SocketAddr>,
     ingress: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -52,7 +54,13 @@
         let (front_listener, front) = bind("front", edge.settings.front).await?;
         let (admin_listener, admin_address) = bind("admin", edge.settings.admin).await?;
         let (ready_listener, readiness) = bind("readiness", edge.edge_settings.readiness).await?;
-        let control = Control::bind(Arc::clone(&edge)).await?;
+        let forward = match edge.edge_settings.forward {
+            Some(address) => Some(bind("forward", address).await?),
+            None => None,
+        };
+        let forward_address = forward.as_ref().map(|(_, address)| *address);
+        let forward_port = forward_address.map_or(0, |address| address.port());
+        let control = Control::bind(Arc::clone(&edge), forward_port).await?;
         let (phase, phase_rx) = watch::channel(StopPhase::Serving);
         let mut tasks = control.start();
         let serve = admin::serve(Arc::clone(&edge), Arc::clone(&control), admin_listener);
@@ -63,7 +71,12 @@
         )));
         tasks.push(tokio::spawn(sweep(Arc::clone(&edge))));
         tasks.push(tokio::spawn(reachability::watch(Arc::clone(&edge))));
-        let ingress = ingress::serve(Arc::clone(&edge), front_listener, phase_rx);
+        if let Some((listener, _)) = forward {
+            let (edge, phase) = (Arc::clone(&edge), phase_rx.clone());
+            let serve = ingress::serve(edge, listener, phase, Origin::Peer);
+            tasks.push(tokio::spawn(serve));
+        }
+        let ingress = ingress::serve(Arc::clone(&edge), front_listener, phase_rx, Origin::Caller);
         let ingress = tokio::spawn(ingress);
         let (name, store) = (&edge.settings.name, edge.edge_settings.store);
         log::info!(
@@ -80,6 +93,7 @@
             front,
             admin: admin_address,
             readiness,
+            forward: forward_address,
             ingress,
             tasks,
         })
@@ -100,6 +114,11 @@
         self.readiness
     }
 
+    /// Bound address for requests that peers forward; `None` if this daemon takes none.
+    pub fn forward(&self) -> Option<SocketAddr> {
+        self.forward
+    }
+
     /// Bound address for peers, UDP and TCP.
     pub fn peer(&self) -> SocketAddr {
         self.control.address()
@@ -157,5 +176,7 @@
         for server in servers.iter() {
             server.upstream.close_idle();
         }
+        drop(servers);
+        edge.forward_pool().close_idle();
     }
 }
--- a/cuminspreadd/src/edge/settings.rs
+++ b/cuminspreadd/src/edge/settings.rs
@@ -14,6 +14,9 @@
     pub store: SocketAddr,
     /// Listener on which the platform asks whether this daemon accepts connections.
     pub readiness: SocketAddr,
+    /// Listener for requests that peers forward, on the host of the peers' listener; `None` to take
+    /// none.
+    pub forward: Option<SocketAddr>,
     /// Peers that are contacted first, to learn of the other peers; all use the same port.
     pub seeds: Vec<SocketAddr>,
     /// The whole system starts for the first time and has no traffic yet: seeds read the store at
@@ -43,6 +46,7 @@
         Self {
             store: any,
             readiness: any,
+            forward: None,
             seeds: Vec::new(),
             first_start: false,
             capacity: 0,
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -36,6 +36,7 @@
 pub use self::server_notices::LimitSource;
 pub use self::service_queue::ServiceQueue;
 use super::crash::CrashTracker;
+use super::forward::ForwardPool;
 use super::metrics::EdgeMetrics;
 use super::settings::EdgeSettings;
 use crate::settings::Settings;
@@ -136,6 +137,7 @@
     previous: Mutex<VecDeque<Arc<Routing>>>,
     servers: Mutex<ServerTable>,
     crashes: Mutex<CrashTracker>,
+    forward_pool: Mutex<ForwardPool>,
     stopping: AtomicBool,
     rejecting_waiting: AtomicBool,
     registry_known: AtomicBool,
@@ -179,6 +181,7 @@
             previous: Mutex::default(),
             servers: Mutex::new(ServerTable::new(seed)),
             crashes: Mutex::default(),
+            forward_pool: Mutex::default(),
             stopping: AtomicBool::new(false),
             rejecting_waiting: AtomicBool::new(false),
             registry_known: AtomicBool::new(false),
@@ -270,6 +273,13 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the peers that take forwarded requests; where both are needed, the servers come first.
+    pub fn forward_pool(&self) -> MutexGuard<'_, ForwardPool> {
+        self.forward_pool
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Marks the registry as known, which readiness requires.
     pub fn set_registry_known(&self) {
         if !self.registry_known.swap(true, Ordering::AcqRel) {
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -3,7 +3,7 @@
 //! | section | keys |
 //! |---|---|
 //! | `daemon` | `name`, `data_centre`, `workers`, `seed`, `stop_bound_ms`, `max_depth` |
-//! | `listen` | `front`, `admin`, `peer`, `readiness` |
+//! | `listen` | `front`, `admin`, `peer`, `readiness`, `forward` |
 //! | `platform` | `url` |
 //! | `store` | `address` |
 //! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
@@ -176,6 +176,7 @@
             ("listen", "admin") => s.admin = address(value)?,
             ("listen", "peer") => s.peer = address(value)?,
             ("listen", "readiness") => edge(s).readiness = address(value)?,
+            ("listen", "forward") => edge(s).forward = Some(address(value)?),
             ("store", "address") => edge(s).store = address(value)?,
             ("peers", "seeds") => edge(s).seeds = addresses(value)?,
             ("peers", "core_share") => edge(s).capacity = (fraction(value)? * 100.0).round() as u16,
@@ -304,7 +305,7 @@
 fn unknown_key(section: &str) -> String {
     let allowed = match section {
         "daemon" => "name, data_centre, workers, seed, stop_bound_ms, max_depth",
-        "listen" => "front, admin, peer, readiness",
+        "listen" => "front, admin, peer, readiness, forward",
         "store" => "address",
         "bounds" => "grace_s, retry_ratio, retry_slack, looks_per_s",
         "platform" => "url",
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -10,6 +10,8 @@
 mod cut_daemons;
 #[path = "edge/fixture.rs"]
 mod fixture;
+#[path = "edge/forwarding.rs"]
+mod forwarding;
 #[path = "edge/leaving.rs"]
 mod leaving;
 #[path = "edge/pause.rs"]
--- a/cuminspreadd/tests/edge/cut_daemons.rs
+++ b/cuminspreadd/tests/edge/cut_daemons.rs
@@ -25,7 +25,7 @@
 }
 
 /// Starts daemons with source addresses of their own.
-async fn start_daemons(fixture: &Fixture, count: usize) -> Vec<EdgeDaemon> {
+pub async fn start_daemons(fixture: &Fixture, count: usize) -> Vec<EdgeDaemon> {
     let mut daemons: Vec<EdgeDaemon> = Vec::new();
     for i in 0..count {
         let seeds: Vec<_> = daemons.first().map(EdgeDaemon::peer).into_iter().collect();
@@ -39,7 +39,7 @@
 }
 
 /// Cuts the first `count` daemons off from all servers; `None` ends that.
-fn cut_daemons(fixture: &Fixture, count: usize, cut: Option<Cut>) {
+pub fn cut_daemons(fixture: &Fixture, count: usize, cut: Option<Cut>) {
     for server in &fixture.servers {
         for daemon in 0..count {
             server.set_cut(source(daemon), cut);
--- a/cuminspreadd/tests/edge/fixture.rs
+++ b/cuminspreadd/tests/edge/fixture.rs
@@ -59,6 +59,7 @@
         let edge_settings = EdgeSettings {
             store: self.store.address(),
             seeds: seeds.to_vec(),
+            forward: Some(SocketAddr::from(([127, 0, 0, 1], 0))),
             ..EdgeSettings::default()
         };
         (settings, edge_settings)
--- a/cuminspreadd/tests/edge/program.rs
+++ b/cuminspreadd/tests/edge/program.rs
@@ -56,6 +56,14 @@
             line: "[peers]\nseeds = 10.0.0.1:1, nowhere",
             fault: "vm.ini:2: [peers] seeds:",
         },
+        Case {
+            line: "[listen]\nforward = 7215",
+            fault: "vm.ini:2: [listen] forward:",
+        },
+        Case {
+            line: "[servers]\nsource = 10.0.0.1:80",
+            fault: "vm.ini:2: [servers] source:",
+        },
         Case {
             line: "[store]\nurl = x",
             fault: "vm.ini:2: [store] url: unknown key; allowed: address",
--- a/cuminspreadd/tests/edge/reader_loss.rs
+++ b/cuminspreadd/tests/edge/reader_loss.rs
@@ -79,6 +79,7 @@
                 started_ms: 1,
                 // The other daemons leave reading to the largest.
                 capacity: u16::MAX,
+                forward_port: 0,
             },
             age: Duration::ZERO,
             versions,
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -87,6 +87,7 @@
         data_centre: "hall".into(),
         started_ms: 1_700_000_000_000,
         capacity: 10,
+        forward_port: 7215,
     };
     let peer = KnownPeer {
         daemon: daemon.clone(),
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -250,6 +250,7 @@
         data_centre: "hall".into(),
         started_ms: 1,
         capacity: 10,
+        forward_port: 0,
     };
     Mesh::new(MeshSettings::default(), me, Vec::new(), 1)
 }
