--- a/cuminspreadd/src/edge/forward.rs
+++ b/cuminspreadd/src/edge/forward.rs
@@ -59,11 +59,13 @@
         }
     }
 
-    fn upstream(&mut self, peer: SocketAddr) -> Arc<Upstream> {
+    /// Connections to a peer, which knows this daemon by the host of its own address `from`.
+    fn upstream(&mut self, peer: SocketAddr, from: SocketAddr) -> Arc<Upstream> {
         let upstream = self.upstreams.entry(peer).or_insert_with(|| {
             let settings = UpstreamSettings {
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_timeout: IDLE_TIMEOUT,
+                source: Some(from.ip()).filter(|ip| !ip.is_unspecified()),
                 ..UpstreamSettings::default()
             };
             let name = Name::new(peer.to_string());
@@ -171,7 +173,7 @@
         .peers
         .choose(now, &req.service, tried, &mut servers.rng)?;
     pool.peers.record_sent(peer);
-    Some((peer, pool.upstream(peer)))
+    Some((peer, pool.upstream(peer, edge.settings.peer)))
 }
 
 /// Sends a request to a peer and reads its response.
