forward: daemons report which services they lost and found

Cause: what a peer is worth was learned only from its refusals, and nothing told its recovery.

Change: a daemon tells its near peers and relays when it loses a service, every 2 s while it lasts, and when it finds it again. A report lapses after 5 s. What a peer says of a request is still remembered, for lost datagrams and older daemons. Nothing is sent while no service is lost.

--- a/cuminspread/src/coordination/forwarding.rs
+++ b/cuminspread/src/coordination/forwarding.rs
@@ -1,8 +1,8 @@
 //! Which peer gets a request that this daemon can't send to a server itself.
 //!
 //! A request is forwarded once at most: a peer that gets one serves it or says that it has not run.
-//! What a peer says is remembered for a while, longer each time, so that peers which are cut off as
-//! well cost few messages. Near peers (in this data centre) come first, unless most of them are of
+//! Peers report which services they reach no server of, and when that ends. Reports get lost, so what
+//! a peer says of a request is remembered, too, for a longer time each time. Near peers (in this data centre) come first, unless most of them are of
 //! no use: the few others must not take the requests of a whole data centre. Of two random peers,
 //! larger ones more often, the one with fewer requests of this daemon is chosen.
 //!
@@ -25,6 +25,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 /// Time for which a peer with an older configuration is left out.
 const OUTDATED_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a report that a peer reaches no server holds without another one.
+const REPORT_TTL: Duration = Duration::from_secs(5);
 /// Attempts at near peers before far ones are tried as well.
 const NEAR_ATTEMPTS: usize = 2;
 
@@ -156,6 +158,21 @@
         Some(chosen.peer.address)
     }
 
+    /// Records a peer's report of whether it reaches the servers of a service.
+    pub fn record_reach(&mut self, now: Mono, peer: SocketAddr, service: &Name, lost: bool) {
+        let Some(state) = self.peers.get_mut(&peer) else {
+            return;
+        };
+        state.without.retain(|_, pause| now < pause.until);
+        if lost {
+            let until = now + REPORT_TTL;
+            let pause = Pause { until, times: 0 };
+            state.without.insert(service.clone(), pause);
+        } else {
+            state.without.remove(service);
+        }
+    }
+
     /// Records that a peer gets a request.
     pub fn record_sent(&mut self, peer: SocketAddr) {
         if let Some(state) = self.peers.get_mut(&peer) {
--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -128,6 +128,14 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Address at which a daemon takes forwarded requests; `None` if it isn't known or has started
+    /// again.
+    pub fn forward_address(&self, daemon: SocketAddr, started_ms: u64) -> Option<SocketAddr> {
+        let peer = self.peers.get(&daemon)?;
+        let is_same = peer.daemon.started_ms == started_ms;
+        is_same.then(|| peer.daemon.forward_address())?
+    }
+
     /// Known part of the fleet, above 0 and up to 1: daemons that were lost without notice in the
     /// last ten minutes may run on in another partition.
     pub fn known_fraction(&mut self, now: Mono) -> f32 {
--- a/cuminspread/src/protocol/gossip.rs
+++ b/cuminspread/src/protocol/gossip.rs
@@ -244,6 +244,22 @@
     pub relay: bool,
 }
 
+/// Report of whether a daemon reaches the servers of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ReachReport {
+    /// Address of the daemon for peers.
+    pub daemon: SocketAddr,
+    /// Start of the daemon, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Service.
+    pub service: Name,
+    /// It reaches no server of the service.
+    pub lost: bool,
+    /// Whether the receiver forwards it to the peers of its data centre.
+    pub relay: bool,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -266,6 +282,8 @@
     ServerLimit(LimitReport),
     /// A server is leaving; since format 3.
     ServerLeaving(LeavingReport),
+    /// A daemon reaches no server of a service, or one again; since format 4.
+    Reach(ReachReport),
 }
 
 /// Asks a peer for all changes after the sender's versions.
--- a/cuminspread/tests/forwarding.rs
+++ b/cuminspread/tests/forwarding.rs
@@ -135,6 +135,26 @@
     }
 }
 
+#[test]
+fn peers_that_report_a_loss_are_left_out_until_they_report_its_end() {
+    let service = Name::new("orders");
+    let mut forwarding = fleet(2).remove(0);
+    let is_offered = |f: &Forwarding, at| {
+        let rng = &mut Pcg32::new(1, 1);
+        f.choose(at, &service, &[], rng).is_some()
+    };
+    let (lost_at, found_at) = (Mono(1_000_000), Mono(9_000_000));
+    forwarding.record_reach(lost_at, address(1), &service, true);
+    assert!(!is_offered(&forwarding, lost_at));
+    forwarding.record_reach(found_at, address(1), &service, true);
+    forwarding.record_reach(found_at, address(1), &service, false);
+    assert!(is_offered(&forwarding, found_at));
+    // A report of the end that is lost costs some seconds.
+    forwarding.record_reach(found_at, address(1), &service, true);
+    assert!(!is_offered(&forwarding, found_at + Duration::from_secs(4)));
+    assert!(is_offered(&forwarding, found_at + Duration::from_secs(6)));
+}
+
 #[test]
 fn peers_that_take_nothing_are_left_out_longer_each_time() {
     let service = Name::new("orders");
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -20,7 +20,7 @@
 use cuminspread::coordination::mesh::Mesh;
 use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
 use cuminspread::protocol::gossip::{
-    CrashReport, Daemon, GossipMessage, LeavingReport, LimitReport, PullResponse,
+    CrashReport, Daemon, GossipMessage, LeavingReport, LimitReport, PullResponse, ReachReport,
     ReadAttemptReport, Versions,
 };
 use cuminspread::state::time::Mono;
@@ -358,6 +358,39 @@
         changes
     }
 
+    /// Reports to peers which services this daemon has lost or found.
+    fn report_reach(&self, state: &mut SyncState, now: Mono) {
+        let reports = self.edge.servers().take_reach_reports(now);
+        for (service, lost) in reports {
+            let (daemon, started_ms) = (state.mesh.me().address, state.mesh.me().started_ms);
+            self.send_to_fleet(state, |relay| {
+                GossipMessage::Reach(ReachReport {
+                    daemon,
+                    started_ms,
+                    service: service.clone(),
+                    lost,
+                    relay,
+                })
+            });
+        }
+    }
+
+    fn handle_reach_report(&self, report: ReachReport) {
+        let state = self.lock();
+        let peer = state.mesh.forward_address(report.daemon, report.started_ms);
+        drop(state);
+        if let Some(peer) = peer {
+            let now = self.edge.now();
+            let mut pool = self.edge.forward_pool();
+            pool.peers
+                .record_reach(now, peer, &report.service, report.lost);
+        }
+        if report.relay {
+            let relay = false;
+            self.forward(&GossipMessage::Reach(ReachReport { relay, ..report }));
+        }
+    }
+
     /// Computes this daemon's parts of servers' limits, and reports what it has learned of them.
     fn update_limits(&self, state: &mut SyncState, now: Mono) {
         let reports = {
@@ -391,6 +424,7 @@
             });
         }
         self.update_limits(&mut state, now);
+        self.report_reach(&mut state, now);
         let leaving = self.update_leaving(&mut state, now);
         let targets = state.mesh.hello_targets(now);
         if !targets.is_empty() {
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -154,6 +154,7 @@
             GossipMessage::ReadAttempt(report) => self.handle_read_attempt(report),
             GossipMessage::ServerLimit(report) => self.handle_limit_report(report),
             GossipMessage::ServerLeaving(report) => self.handle_leaving_report(report),
+            GossipMessage::Reach(report) => self.handle_reach_report(report),
             GossipMessage::ProbeRate(rate) => {
                 let mut servers = self.edge.servers();
                 servers.record_peer_probes(rate as f32, &self.edge.edge_settings);
--- a/cuminspreadd/src/edge/reachability.rs
+++ b/cuminspreadd/src/edge/reachability.rs
@@ -48,4 +48,6 @@
     let now = edge.now();
     edge.servers().record_reach_check(now, &check.service, end);
     edge.reach_notice.notify_one();
+    // Peers are told of a change.
+    edge.server_notice.notify_one();
 }
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -106,6 +106,8 @@
     probe_limiter: ProbeLimiter,
     /// Services some of whose servers failed to answer.
     reach: HashMap<Name, Reachability>,
+    /// When services that are lost or have been found are reported to peers.
+    reach_reports: HashMap<Name, Mono>,
     /// What removed servers had asked of this daemon, with the starts of their incarnations.
     former_hold_offs: HashMap<Name, (u64, HoldOff)>,
     /// Reports of limits that peers don't have yet, and the times of the answers.
@@ -372,6 +374,7 @@
             subset_salt: seed,
             probe_limiter: ProbeLimiter::new(ProbeLimiterSettings::default()),
             reach: HashMap::new(),
+            reach_reports: HashMap::new(),
             former_hold_offs: HashMap::new(),
             limit_reports: Vec::new(),
             leaving: Vec::new(),
--- a/cuminspreadd/src/edge/state/reach.rs
+++ b/cuminspreadd/src/edge/state/reach.rs
@@ -10,6 +10,8 @@
 use super::{ServerKey, ServerTable};
 use crate::edge::settings::EdgeSettings;
 
+/// Time until a loss is reported to peers again, since datagrams can be lost.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time until a check is tried again for which no probe was allowed.
 const NO_PROBE_DELAY: Duration = Duration::from_millis(100);
 
@@ -111,8 +113,29 @@
         }
     }
 
+    /// Services to report to peers now, and whether each is lost.
+    pub fn take_reach_reports(&mut self, now: Mono) -> Vec<(Name, bool)> {
+        let due = self.reach_reports.iter().filter(|(_, at)| now >= **at);
+        let due: Vec<Name> = due.map(|(service, _)| service.clone()).collect();
+        let mut reports = Vec::new();
+        for service in due {
+            let lost = self.is_lost(&service);
+            if lost {
+                let next = now + REPORT_INTERVAL;
+                self.reach_reports.insert(service.clone(), next);
+            } else {
+                self.reach_reports.remove(&service);
+            }
+            reports.push((service, lost));
+        }
+        reports
+    }
+
     /// Logs a change; servers that were out of reach are no longer avoided for it.
     fn apply_reach(&mut self, service: &Name, change: Option<ReachChange>) {
+        if change.is_some() {
+            self.reach_reports.insert(service.clone(), Mono::default());
+        }
         match change {
             Some(ReachChange::Lost) => {
                 let failed = self.reach.get(service).map_or(0, Reachability::failed);
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -9,7 +9,7 @@
 use cuminspread::protocol::envelope::{Envelope, EnvelopeHeader};
 use cuminspread::protocol::gossip::{
     self, CrashReport, Daemon, GossipMessage, KnownPeer, LeavingReport, LimitReport, PullResponse,
-    ReadAttemptReport, RegistryUpdate, RoutingUpdate, StoreUpdate, Versions,
+    ReachReport, ReadAttemptReport, RegistryUpdate, RoutingUpdate, StoreUpdate, Versions,
 };
 use cuminspread::protocol::member::{ListMark, Liveness, MemberMessage, MemberUpdate};
 use cuminspread::protocol::message::Message;
@@ -80,6 +80,48 @@
     pub data: Vec<u8>,
 }
 
+/// Reports of daemons about requests, servers and services.
+fn reports(daemon: &Daemon) -> [(&'static str, GossipMessage); 5] {
+    let crash = CrashReport {
+        id: 1,
+        fingerprint: 2,
+        ran: Duration::from_millis(80),
+        age: Duration::from_millis(20),
+        relay: false,
+    };
+    let attempt = ReadAttemptReport {
+        rank: 5,
+        attempt: ReadAttempt::Failed,
+        relay: true,
+    };
+    let limit = LimitReport {
+        server: "i-1".into(),
+        started_ms: 1_000,
+        rate: Some(3.2),
+        age: Duration::from_millis(20),
+        relay: false,
+    };
+    let leaving = LeavingReport {
+        server: "i-1".into(),
+        started_ms: 1_000,
+        relay: true,
+    };
+    let reach = ReachReport {
+        daemon: daemon.address,
+        started_ms: daemon.started_ms,
+        service: "orders".into(),
+        lost: true,
+        relay: true,
+    };
+    [
+        ("crash", GossipMessage::Crash(crash)),
+        ("read-attempt", GossipMessage::ReadAttempt(attempt)),
+        ("limit", GossipMessage::ServerLimit(limit)),
+        ("announced-end", GossipMessage::ServerLeaving(leaving)),
+        ("reach", GossipMessage::Reach(reach)),
+    ]
+}
+
 /// Gossip messages, pull responses, and a configuration as the store holds it.
 pub fn files() -> Vec<SeedFile> {
     let daemon = Daemon {
@@ -114,41 +156,14 @@
         can_serve: true,
         relay: true,
     };
-    let crash = CrashReport {
-        id: 1,
-        fingerprint: 2,
-        ran: Duration::from_millis(80),
-        age: Duration::from_millis(20),
-        relay: false,
-    };
-    let attempt = ReadAttemptReport {
-        rank: 5,
-        attempt: ReadAttempt::Failed,
-        relay: true,
-    };
-    let limit = LimitReport {
-        server: "i-1".into(),
-        started_ms: 1_000,
-        rate: Some(3.2),
-        age: Duration::from_millis(20),
-        relay: false,
-    };
-    let leaving = LeavingReport {
-        server: "i-1".into(),
-        started_ms: 1_000,
-        relay: true,
-    };
     let messages = [
         ("hello", GossipMessage::Hello(daemon.clone())),
         ("peers", GossipMessage::Peers(vec![peer.clone()])),
         ("bulletin", GossipMessage::StoreUpdate(Box::new(update))),
-        ("leaving", GossipMessage::Leaving(daemon)),
-        ("crash", GossipMessage::Crash(crash)),
+        ("leaving", GossipMessage::Leaving(daemon.clone())),
         ("questions", GossipMessage::ProbeRate(70)),
-        ("read-attempt", GossipMessage::ReadAttempt(attempt)),
-        ("limit", GossipMessage::ServerLimit(limit)),
-        ("announced-end", GossipMessage::ServerLeaving(leaving)),
     ];
+    let messages = messages.into_iter().chain(reports(&daemon));
     let response = |routing, registry| PullResponse {
         routing: Some(routing),
         registry: Some(registry),
@@ -172,7 +187,7 @@
     ];
     let messages = messages.map(|(name, m)| message(Target::Gossip, name, &m));
     let responses = responses.map(|(name, r)| message(Target::PullResponse, name, &r));
-    let mut files: Vec<SeedFile> = messages.into_iter().chain(responses).collect();
+    let mut files: Vec<SeedFile> = messages.chain(responses).collect();
     files.push(SeedFile {
         target: Target::Routing,
         name: "one-route",
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -218,6 +218,10 @@
             let left = Catalog::default().record_leaving(&report.server, report.started_ms);
             assert!(left.is_none(), "the catalog is empty");
         }
+        GossipMessage::Reach(report) => {
+            let peer = mesh.forward_address(report.daemon, report.started_ms);
+            assert!(peer.is_none(), "the mesh is empty");
+        }
         GossipMessage::ServerLimit(report) => {
             let rate = report.rate.filter(|r| r.is_finite() && *r >= 0.0);
             let me = mesh.me().clone();
