fault-soak: a drill in which daemons are cut off from all servers

Some, most or all daemons lose the paths to all servers for 3.5 to 7 s, in both directions or one, by resets, or with old connections that live on; daemons are killed, stopped and frozen meanwhile, servers replaced, the store away, configurations changed.

Daemons have hosts of their own as the source of their connections, by which the proxies tell them apart.

--- a/bench/src/fault_soak.rs
+++ b/bench/src/fault_soak.rs
@@ -15,12 +15,14 @@
 //! - a server that then announces that it leaves gets no request sent after the drain time-out.
 //!
 //! `--only` plays a drill instead: with `store-restore` the store comes back from older copies, and
-//! with `server-signals` servers name limits and pauses and announce their ends.
+//! with `server-signals` servers name limits and pauses and announce their ends, and with
+//! `cut-daemons` daemons are cut off from all servers.
 //!
 //! No fault changes clocks: daemons measure time with the monotonic clock and use the wall clock
 //! only to name their start.
 
 pub mod client;
+mod cut_daemons;
 pub mod fleet;
 pub mod proxy;
 mod server_signals;
@@ -83,6 +85,8 @@
     StoreRestore,
     /// Servers name limits and pauses, and announce that they leave.
     ServerSignals,
+    /// Daemons are cut off from all servers.
+    CutDaemons,
 }
 
 /// Settings of a run.
@@ -102,6 +106,8 @@
     pub servers: usize,
     /// Number of clients.
     pub clients: usize,
+    /// Folder for the daemons' logs, which are appended to; `None` to keep none.
+    pub logs: Option<PathBuf>,
 }
 
 /// Result of a run.
@@ -133,9 +139,15 @@
             Arg::new("only")
                 .long("only")
                 .value_name("FAULT")
-                .value_parser(["store-restore", "server-signals"])
+                .value_parser(["store-restore", "server-signals", "cut-daemons"])
                 .help("Inject only this fault"),
         )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("FOLDER")
+                .help("Folder for the daemons' logs, one file for each seed and daemon"),
+        )
         .arg(number_arg("seed", "1", "First seed"))
         .arg(number_arg("seeds", "1", "Seeds, one run each"))
         .arg(flag_arg("failed", "Run the seeds that failed once"))
@@ -156,6 +168,7 @@
     let programs: Vec<PathBuf> = programs.map(PathBuf::from).collect();
     let faults = match args.get_one::<String>("only").map(String::as_str) {
         Some("server-signals") => Faults::ServerSignals,
+        Some("cut-daemons") => Faults::CutDaemons,
         Some(_) => Faults::StoreRestore,
         None => Faults::Any,
     };
@@ -175,6 +188,7 @@
             daemons: number("daemons") as usize,
             servers: number("servers") as usize,
             clients: number("clients") as usize,
+            logs: args.get_one::<String>("logs").map(PathBuf::from),
         };
         let verdict = crate::runtime()?.block_on(soak(&settings))?;
         println!(
@@ -222,6 +236,7 @@
                 fleet.update()?;
             }
             Faults::ServerSignals => server_signals::inject(&mut fleet, &mut rng).await?,
+            Faults::CutDaemons => cut_daemons::inject(&mut fleet, &mut rng).await?,
             Faults::StoreRestore => {
                 let left = settings.duration.saturating_sub(start.elapsed());
                 store_restore::round(&mut fleet, &mut rng, &added_routes, left).await?;
@@ -262,6 +277,9 @@
     verdict
         .violations
         .extend(server_signals::check(&fleet, &requests));
+    verdict
+        .violations
+        .extend(cut_daemons::check(&fleet, &requests));
     let calm: Vec<&SentRequest> = requests.iter().filter(|r| r.at >= calm_from).collect();
     let served = calm.iter().filter(|r| r.outcome == Outcome::Served).count();
     if (served as f64) < MIN_SERVED_FRACTION * calm.len() as f64 {
--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -10,12 +11,14 @@
 use anyhow::Context as _;
 use cuminspread_platform::standin::server::{Arrival, Behaviour, ExecutedRequest, StandInServer};
 use cuminspread_platform::standin::store::{Mode, RouteRow, StandInStore, config_text};
+use rand::RngExt as _;
+use rand_pcg::Pcg32;
 use serde_json::json;
 use tokio::time::Instant;
 
 use super::SoakSettings;
 use super::client::{MAX_ATTEMPTS, ORDER_PREFIX, READ_PREFIX};
-use super::proxy::{Fault, Proxy};
+use super::proxy::{Cut, Cuts, Fault, Proxy};
 
 /// Service of all routes.
 const SERVICE: &str = "status";
@@ -25,6 +28,10 @@
 pub const ENTRY_TTL: Duration = Duration::from_millis(4500);
 /// Low 16 bits of the first daemon's address in 127.0.0.0/16.
 const FIRST_DAEMON_HOST: u16 = 10;
+/// Ports for the daemons' listeners.
+const LISTENER_PORTS: Range<u16> = 10_000..30_000;
+/// Ports that are tried for one listener.
+const PORT_ATTEMPTS: usize = 100;
 /// Idle time-out of clients' connections in the configuration, in seconds.
 const IDLE_TIMEOUT_S: f64 = 15.0;
 
@@ -63,6 +70,8 @@
     child: Child,
     /// When a paused daemon is resumed; `None` while not paused.
     paused_until: Option<Instant>,
+    /// When its cut from the servers ends; `None` while not cut.
+    cut_until: Option<Instant>,
     /// When a daemon that got a `SIGTERM` is killed; `None` without `SIGTERM`.
     kill_at: Option<Instant>,
 }
@@ -82,6 +91,17 @@
     left_at: Instant,
 }
 
+/// A span in which a daemon was cut off from all servers.
+#[derive(Debug, Clone, Copy)]
+pub struct CutSpan {
+    /// Index of the daemon.
+    pub daemon: usize,
+    /// Start of the cut.
+    pub from: Instant,
+    /// Its planned end.
+    pub to: Instant,
+}
+
 /// A deployment under test.
 #[derive(Debug)]
 pub struct Fleet {
@@ -92,6 +112,10 @@
     store_fault_until: Option<Instant>,
     servers: Vec<Server>,
     daemons: Vec<Daemon>,
+    /// Daemons whose paths to all servers are cut.
+    cuts: Cuts,
+    /// Spans in which daemons were cut off.
+    cut_spans: Vec<CutSpan>,
     /// Servers that were replaced; what they executed still counts.
     replaced: Vec<StandInServer>,
     /// Servers that left without being stopped.
@@ -124,7 +148,7 @@
     /// Fails if a proxy or a daemon can't be started.
     pub async fn start(settings: &SoakSettings) -> anyhow::Result<Self> {
         let store = StandInStore::start().await;
-        let store_proxy = Proxy::start(store.address()).await?;
+        let store_proxy = Proxy::start(store.address(), Cuts::default()).await?;
         let mut fleet = Self {
             programs: settings.programs.clone(),
             store,
@@ -132,6 +156,8 @@
             store_fault_until: None,
             servers: Vec::new(),
             daemons: Vec::new(),
+            cuts: Cuts::default(),
+            cut_spans: Vec::new(),
             replaced: Vec::new(),
             left: Vec::new(),
             disruptions: Vec::new(),
@@ -149,7 +175,7 @@
             let server = fleet.start_server().await?;
             fleet.servers.push(server);
         }
-        let [front_port, admin_port, ready_port, peer_port] = free_ports()?;
+        let [front_port, admin_port, ready_port, peer_port, forward_port] = free_ports()?;
         let seeds: Vec<String> = (0..3).map(|i| listener(i, peer_port).to_string()).collect();
         for i in 0..settings.daemons {
             let (front, peer) = (listener(i, front_port), listener(i, peer_port));
@@ -162,10 +188,20 @@
                 seeds.join(", "),
                 STOP_GRACE.as_secs()
             );
+            let log = settings.logs.as_ref().map(|folder| {
+                let file = folder.join(format!("{}-{i}.log", settings.seed));
+                format!("[log]\nfile = {}\n", file.display())
+            });
+            let text = text + log.as_deref().unwrap_or_default();
+            let own_host = format!(
+                "[listen]\nforward = {}\n[servers]\nsource = {}\n",
+                listener(i, forward_port),
+                front.ip()
+            );
             let name = format!("fault-soak-{}-{i}.ini", std::process::id());
             let path = std::env::temp_dir().join(name);
-            fs::write(&path, text).with_context(|| format!("writing {}", path.display()))?;
             let program = fleet.programs[i % fleet.programs.len()].clone();
+            write_settings(&program, &path, &text, &own_host)?;
             let child = start_daemon(&program, &path)?;
             fleet.daemons.push(Daemon {
                 program,
@@ -173,6 +209,7 @@
                 front,
                 child,
                 paused_until: None,
+                cut_until: None,
                 kill_at: None,
             });
         }
@@ -221,6 +258,25 @@
         self.signal(daemon, Signal::Pause);
     }
 
+    /// Cuts a daemon off from all servers for a time.
+    pub fn cut_daemon(&mut self, daemon: usize, cut: Cut, duration: Duration) {
+        let (from, to) = (Instant::now(), Instant::now() + duration);
+        self.cut_spans.push(CutSpan { daemon, from, to });
+        let daemon = &mut self.daemons[daemon];
+        daemon.cut_until = Some(to);
+        self.cuts.set(daemon.front.ip(), Some(cut));
+    }
+
+    /// Whether a daemon is cut off from all servers now.
+    pub fn is_cut(&self, daemon: usize) -> bool {
+        self.daemons[daemon].cut_until.is_some()
+    }
+
+    /// Spans in which daemons were cut off from all servers.
+    pub fn cut_spans(&self) -> &[CutSpan] {
+        &self.cut_spans
+    }
+
     /// Sets how a server handles requests.
     pub fn set_behaviour(&mut self, server: usize, behaviour: Behaviour) {
         self.servers[server].stand_in.set_behaviour(behaviour);
@@ -443,6 +499,9 @@
             self.store_proxy.set_fault(None);
         }
         for (i, daemon) in self.daemons.iter_mut().enumerate() {
+            if is_over(&mut daemon.cut_until) {
+                self.cuts.set(daemon.front.ip(), None);
+            }
             if is_over(&mut daemon.paused_until) {
                 self.disruptions.push((i, now));
                 send_signal(&daemon.child, Signal::Resume);
@@ -468,7 +527,9 @@
             server.stand_in.set_limit("");
             server.proxy.set_fault(None);
         }
+        self.cuts.clear();
         for daemon in &mut self.daemons {
+            daemon.cut_until = None;
             daemon.paused_until = None;
             send_signal(&daemon.child, Signal::Resume);
         }
@@ -478,7 +539,7 @@
         self.started += 1;
         let id = format!("i-{:04}", self.started);
         let stand_in = StandInServer::start(&id).await;
-        let proxy = Proxy::start(stand_in.address()).await?;
+        let proxy = Proxy::start(stand_in.address(), self.cuts.clone()).await?;
         self.store
             .put_server(&id, SERVICE, proxy.address(), &json!({}));
         Ok(Server {
@@ -519,6 +580,30 @@
     }
 }
 
+/// Writes a daemon's settings; programs that don't know the keys of `own_host` get none of them.
+fn write_settings(
+    program: &PathBuf,
+    path: &PathBuf,
+    text: &str,
+    own_host: &str,
+) -> anyhow::Result<()> {
+    let write =
+        |text: &str| fs::write(path, text).with_context(|| format!("writing {}", path.display()));
+    write(&format!("{text}{own_host}"))?;
+    let checked = Command::new(program)
+        .arg("--settings")
+        .arg(path)
+        .arg("--check")
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .status()
+        .with_context(|| format!("starting {}", program.display()))?;
+    if checked.success() {
+        return Ok(());
+    }
+    write(text)
+}
+
 fn start_daemon(program: &PathBuf, settings: &PathBuf) -> anyhow::Result<Child> {
     Command::new(program)
         .arg("--settings")
@@ -548,14 +633,19 @@
     SocketAddr::from(([127, 0, high, low], port))
 }
 
-/// Ports that are free now on the first host of the daemons. They are chosen here because daemons must bind the same ports after
-/// each restart.
+/// Ports that are free now on the first host of the daemons, chosen here because daemons must bind
+/// the same ports after each restart. None is a port that the system gives to connections, which
+/// have the daemons' hosts as their source.
 fn free_ports<const N: usize>() -> anyhow::Result<[u16; N]> {
-    let bound: Result<Vec<_>, _> = (0..N).map(|_| TcpListener::bind(listener(0, 0))).collect();
-    let bound = bound.context("binding a free port on loopback")?;
+    let mut rng = Pcg32::new(std::process::id().into(), 9);
     let mut ports = [0; N];
-    for (port, listener) in ports.iter_mut().zip(&bound) {
-        *port = listener.local_addr()?.port();
+    let mut bound = Vec::new();
+    for port in &mut ports {
+        let listener = (0..PORT_ATTEMPTS).find_map(|_| {
+            *port = rng.random_range(LISTENER_PORTS);
+            TcpListener::bind(listener(0, *port)).ok()
+        });
+        bound.push(listener.context("no free port on loopback")?);
     }
     Ok(ports)
 }
--- a/bench/src/fault_soak/proxy.rs
+++ b/bench/src/fault_soak/proxy.rs
@@ -1,7 +1,8 @@
 //! TCP proxy on loopback that can inject faults into its connections.
 
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -28,6 +29,66 @@
     CutToClient,
 }
 
+/// How the paths of one client to all servers are cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// All connections have this fault, new ones too.
+    Fault(Fault),
+    /// New connections are reset, and old ones live on.
+    NewOnly,
+}
+
+/// Hosts of clients whose paths are cut; shared by proxies.
+#[derive(Debug, Clone, Default)]
+pub struct Cuts(Arc<Mutex<HashMap<IpAddr, Cut>>>);
+
+impl Cuts {
+    /// Cuts the paths of a client; `None` ends that.
+    pub fn set(&self, client: IpAddr, cut: Option<Cut>) {
+        let mut cuts = self.lock();
+        match cut {
+            Some(cut) => cuts.insert(client, cut),
+            None => cuts.remove(&client),
+        };
+    }
+
+    /// Ends all cuts.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
+    fn get(&self, client: IpAddr) -> Option<Cut> {
+        self.lock().get(&client).copied()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<IpAddr, Cut>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Faults of one connection.
+#[derive(Debug, Clone)]
+struct Faults {
+    of_all: Arc<Mutex<Option<Fault>>>,
+    cuts: Cuts,
+    client: IpAddr,
+}
+
+impl Faults {
+    fn current(&self) -> Option<Fault> {
+        let of_all = *self.of_all.lock().unwrap_or_else(PoisonError::into_inner);
+        match self.cuts.get(self.client) {
+            Some(Cut::Fault(fault)) => Some(fault),
+            Some(Cut::NewOnly) | None => of_all,
+        }
+    }
+
+    fn refuses_new(&self) -> bool {
+        let cut = self.cuts.get(self.client);
+        matches!(cut, Some(Cut::NewOnly | Cut::Fault(Fault::Reset)))
+    }
+}
+
 /// A running proxy; dropping it closes its listener and connections.
 #[derive(Debug)]
 pub struct Proxy {
@@ -37,16 +98,16 @@
 }
 
 impl Proxy {
-    /// Starts a proxy that forwards to an address.
+    /// Starts a proxy that forwards to an address, but for clients whose paths are cut.
     ///
     /// # Errors
     ///
     /// Fails if no port can be bound.
-    pub async fn start(server: SocketAddr) -> std::io::Result<Self> {
+    pub async fn start(server: SocketAddr, cuts: Cuts) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let fault = Arc::new(Mutex::new(None));
-        let task = tokio::spawn(accept(listener, server, Arc::clone(&fault)));
+        let task = tokio::spawn(accept(listener, server, Arc::clone(&fault), cuts));
         Ok(Self {
             address,
             fault,
@@ -71,14 +132,28 @@
     }
 }
 
-async fn accept(listener: TcpListener, server: SocketAddr, fault: Arc<Mutex<Option<Fault>>>) {
+async fn accept(
+    listener: TcpListener,
+    server: SocketAddr,
+    of_all: Arc<Mutex<Option<Fault>>>,
+    cuts: Cuts,
+) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let Ok((client, _)) = listener.accept().await else {
+        let Ok((client, from)) = listener.accept().await else {
             continue;
         };
-        let fault = Arc::clone(&fault);
+        let faults = Faults {
+            of_all: Arc::clone(&of_all),
+            cuts: cuts.clone(),
+            client: from.ip(),
+        };
+        if faults.refuses_new() {
+            // Dropped at once, with a reset.
+            let _ = client.set_zero_linger();
+            continue;
+        }
         connections.spawn(async move {
             // The client sees a closed connection if the server can't be reached.
             let Ok(server) = TcpStream::connect(server).await else {
@@ -87,8 +162,8 @@
             let (client_in, client_out) = client.into_split();
             let (server_in, server_out) = server.into_split();
             tokio::select! {
-                () = forward(client_in, server_out, &fault, Fault::CutToServer) => {}
-                () = forward(server_in, client_out, &fault, Fault::CutToClient) => {}
+                () = forward(client_in, server_out, &faults, Fault::CutToServer) => {}
+                () = forward(server_in, client_out, &faults, Fault::CutToClient) => {}
             }
         });
     }
@@ -96,19 +171,13 @@
 
 /// Forwards one direction until either side closes or a fault ends the connection. `cut` is the
 /// fault that stops this direction only.
-async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    fault: &Mutex<Option<Fault>>,
-    cut: Fault,
-) {
-    let current_fault = || *fault.lock().unwrap_or_else(PoisonError::into_inner);
+async fn forward(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, faults: &Faults, cut: Fault) {
     let mut buf = vec![0; 16 << 10];
     loop {
         let read = tokio::select! {
             read = from.read(&mut buf) => read,
             () = sleep(POLL_INTERVAL) => {
-                if current_fault() == Some(Fault::Reset) {
+                if faults.current() == Some(Fault::Reset) {
                     return;
                 }
                 continue;
@@ -118,7 +187,7 @@
             return;
         };
         loop {
-            match current_fault() {
+            match faults.current() {
                 Some(Fault::Reset) => return,
                 Some(Fault::Delay(time)) => {
                     sleep(time).await;
