edge: a pause that a probe is turned away with is kept

Looked for the same cause elsewhere: servers may turn a probe away like a request, and the pause in such an answer wasn't read.

Change: the answer to a probe begins a pause as the answer to a request does, through the same reader of the field.

The test fails before (46 probes instead of 1), and all four tests of pauses pass after.

--- a/cuminspreadd/src/edge/probe.rs
+++ b/cuminspreadd/src/edge/probe.rs
@@ -55,6 +55,9 @@
             if let Some(load) = health.load {
                 servers.record_load(now, key, load, Some(health.healthy));
             }
+            if let Some(pause) = health.pause {
+                servers.record_pause(now, key, pause);
+            }
             let is_new = servers.record_limit(now, key, health.limit, LimitSource::Probe);
             if health.leaving && servers.record_leaving(key) || is_new {
                 edge.server_notice.notify_one();
--- a/cuminspreadd/tests/edge/pause.rs
+++ b/cuminspreadd/tests/edge/pause.rs
@@ -80,6 +80,31 @@
     }
 }
 
+#[tokio::test]
+async fn a_probe_that_is_turned_away_begins_a_pause() {
+    let fixture = Fixture::new(2, RouteRow::default()).await;
+    let daemon = fixture.start_daemon().await;
+    let [server, _] = fixture.servers.as_slice() else {
+        panic!("two servers");
+    };
+    server.set_probe_pause("3");
+    wait_for("a probe", async || {
+        status(&daemon).await;
+        server.probes() > 0
+    })
+    .await;
+    let began = Instant::now();
+    // The answer to the probe may still be on its way.
+    sleep(Duration::from_millis(100)).await;
+    let (before, probes) = (server.arrivals().len(), server.probes());
+    while began.elapsed() < PAUSE.mul_f32(0.9) {
+        assert_eq!(status(&daemon).await, 200);
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!((server.arrivals().len(), server.probes()), (before, probes));
+    daemon.kill();
+}
+
 #[tokio::test]
 async fn requests_are_refused_at_once_while_all_servers_pause() {
     let fixture = Fixture::new(2, RouteRow::default()).await;
