cumin: services that daemons don't reach, and requests that went through a peer

explain-request follows a request over the hop from the logs of both daemons (the caller's daemon ends it, the peer's line names the server), and says what a refusal or a loss there means; fleet names the services that a daemon reaches no server of.

--- a/cumin/src/fleet.rs
+++ b/cumin/src/fleet.rs
@@ -68,6 +68,12 @@
         status.era,
         status.daemons
     );
+    if !status.lost_services.is_empty() {
+        println!(
+            "  reaches no server of: {}",
+            status.lost_services.join(", ")
+        );
+    }
     let mut services: BTreeMap<&str, [usize; 5]> = BTreeMap::new();
     for server in &status.servers {
         let counts = services.entry(&server.service).or_default();
--- a/cumin/src/request.rs
+++ b/cumin/src/request.rs
@@ -144,10 +144,14 @@
 
 /// Cause of the request's outcome, in a sentence.
 fn explain(lines: &[LogLine], restarted_ms: Option<u64>) -> String {
-    let Some(final_line) = lines.iter().rev().find(|l| l.field("event") == "request") else {
+    let mut ends = lines.iter().rev().filter(|l| l.field("event") == "request");
+    let Some(final_line) = ends.clone().find(|l| l.field("from") != "peer") else {
         return explain_unfinished(lines, restarted_ms);
     };
-    let (service, server) = (final_line.field("service"), final_line.field("server"));
+    // The line of the peer that took it names the server.
+    let at_peer = ends.find(|l| l.field("from") == "peer" && l.field("outcome") != "refused");
+    let (service, peer) = (final_line.field("service"), final_line.field("peer"));
+    let server = at_peer.unwrap_or(final_line).field("server");
     let waited: u64 = final_line.field("waited_us").parse().unwrap_or(0) / 1000;
     let took: u64 = final_line.field("took_us").parse().unwrap_or(0) / 1000;
     let reason = match (final_line.field("outcome"), final_line.field("detail")) {
@@ -161,6 +165,10 @@
              configuration"
                 .to_owned()
         }
+        ("refused", "no_server") if !peer.is_empty() => format!(
+            "It was refused, and has not run: this daemon reaches no server of {service}, and no \
+             peer took it"
+        ),
         ("refused", "no_server") => format!(
             "It was refused, and has not run: no server of {service} accepted requests, or all failed"
         ),
@@ -186,6 +194,9 @@
             "It was refused, and has not run: the daemon was about to stop".to_owned()
         }
         ("refused", detail) => format!("It was refused, and has not run: {detail}"),
+        ("failed", detail @ ("peer_lost" | "peer_failed")) => {
+            format!("Its outcome is unknown: peer {peer} had it ({detail})")
+        }
         ("failed", "timeout") => format!(
             "Its outcome is unknown: server {server} had not answered when its time was over"
         ),
@@ -200,6 +211,11 @@
         (outcome, _) => format!("It ended with the outcome {outcome}"),
     };
     let version = final_line.field("version");
+    let reason = if at_peer.is_some() {
+        format!("{reason} through peer {peer}")
+    } else {
+        reason
+    };
     format!(
         "{reason}; {} sends, {} hedges, {waited} ms until the first send, {took} ms in all, \
          configuration {version}.",
--- a/cumin/tests/request.rs
+++ b/cumin/tests/request.rs
@@ -19,6 +19,11 @@
 time_ms=90 level=info event=waits id=a-16 service=orders waiting=3
 time_ms=900 level=info event=started name=vm-1 data_centre=hall
 time_ms=950 level=info event=placed id=a-17 server=i-3 slowness=1.00 report_age_us=90
+time_ms=960 level=info event=request id=a-20 version=8 from=peer service=orders server=i-4 peer= outcome=served status=200 detail=answer last=answer sends=1 runs=1 hedges=0 waited_us=900 took_us=20000
+time_ms=960 level=info event=forwarded id=a-20 service=orders peer=10.0.0.2:7215 attempt=1 outcome=ran detail=answer took_us=21000
+time_ms=961 level=info event=request id=a-20 version=8 from=caller service=orders server= peer=10.0.0.2:7215 outcome=served status=200 detail=answer last=answer sends=0 runs=0 hedges=0 waited_us=0 took_us=21500
+time_ms=970 level=info event=request id=a-21 version=8 from=caller service=orders server= peer=10.0.0.2:7215 outcome=refused status=503 detail=no_server last=not_taken sends=0 runs=0 hedges=0 waited_us=0 took_us=900
+time_ms=980 level=info event=request id=a-22 version=8 from=caller service=orders server= peer=10.0.0.2:7215 outcome=failed status=502 detail=peer_lost last=peer_lost sends=0 runs=0 hedges=0 waited_us=0 took_us=900
 ";
 
 struct Case {
@@ -30,85 +35,104 @@
     found: bool,
 }
 
+const CASES: &[Case] = &[
+    Case {
+        id: "a-1",
+        lines: 4,
+        cause: "It was served by i-2; 2 sends, 0 hedges, 2 ms until the first send, 30 ms",
+        found: true,
+    },
+    Case {
+        id: "a-10",
+        lines: 1,
+        cause: "has not run: no server of orders had room in time; 0 sends",
+        found: true,
+    },
+    Case {
+        id: "a-13",
+        lines: 1,
+        cause: "that it was sent to refused it, and it could not be sent again; 2 sends",
+        found: true,
+    },
+    Case {
+        id: "a-11",
+        lines: 1,
+        cause: "outcome is unknown: server i-3 had not answered when its time was over",
+        found: true,
+    },
+    Case {
+        id: "a-12",
+        lines: 1,
+        cause: "No route of version 8",
+        found: true,
+    },
+    Case {
+        id: "a-14",
+        lines: 1,
+        cause: "has not run: requests like it crashed servers",
+        found: true,
+    },
+    Case {
+        id: "a-18",
+        lines: 1,
+        cause: "has not run: the servers of orders had asked this daemon for a pause",
+        found: true,
+    },
+    Case {
+        id: "a-19",
+        lines: 1,
+        cause: "has not run: the servers of orders name limits, and this daemon's part was used",
+        found: true,
+    },
+    Case {
+        id: "a-15",
+        lines: 1,
+        cause: "Its outcome is unknown: its daemon ended while server i-3 had it, and started \
+                again 820 ms after its last line",
+        found: true,
+    },
+    Case {
+        id: "a-16",
+        lines: 1,
+        cause: "It has not run: its daemon ended before a server had it, and started again \
+                810 ms after its last line",
+        found: true,
+    },
+    Case {
+        id: "a-17",
+        lines: 1,
+        cause: "has not ended, or its last line was dropped",
+        found: true,
+    },
+    Case {
+        id: "a-20",
+        lines: 3,
+        cause: "It was served by i-4 through peer 10.0.0.2:7215; 0 sends",
+        found: true,
+    },
+    Case {
+        id: "a-21",
+        lines: 1,
+        cause: "has not run: this daemon reaches no server of orders, and no peer took it",
+        found: true,
+    },
+    Case {
+        id: "a-22",
+        lines: 1,
+        cause: "Its outcome is unknown: peer 10.0.0.2:7215 had it (peer_lost)",
+        found: true,
+    },
+    Case {
+        id: "a-2",
+        lines: 0,
+        cause: "no line names a-2",
+        found: false,
+    },
+];
+
 #[test]
 fn causes_of_outcomes() {
-    let cases = [
-        Case {
-            id: "a-1",
-            lines: 4,
-            cause: "It was served by i-2; 2 sends, 0 hedges, 2 ms until the first send, 30 ms",
-            found: true,
-        },
-        Case {
-            id: "a-10",
-            lines: 1,
-            cause: "has not run: no server of orders had room in time; 0 sends",
-            found: true,
-        },
-        Case {
-            id: "a-13",
-            lines: 1,
-            cause: "that it was sent to refused it, and it could not be sent again; 2 sends",
-            found: true,
-        },
-        Case {
-            id: "a-11",
-            lines: 1,
-            cause: "outcome is unknown: server i-3 had not answered when its time was over",
-            found: true,
-        },
-        Case {
-            id: "a-12",
-            lines: 1,
-            cause: "No route of version 8",
-            found: true,
-        },
-        Case {
-            id: "a-14",
-            lines: 1,
-            cause: "has not run: requests like it crashed servers",
-            found: true,
-        },
-        Case {
-            id: "a-18",
-            lines: 1,
-            cause: "has not run: the servers of orders had asked this daemon for a pause",
-            found: true,
-        },
-        Case {
-            id: "a-19",
-            lines: 1,
-            cause: "has not run: the servers of orders name limits, and this daemon's part was used",
-            found: true,
-        },
-        Case {
-            id: "a-15",
-            lines: 1,
-            cause: "Its outcome is unknown: its daemon ended while server i-3 had it, and started \
-                    again 820 ms after its last line",
-            found: true,
-        },
-        Case {
-            id: "a-16",
-            lines: 1,
-            cause: "It has not run: its daemon ended before a server had it, and started again \
-                    810 ms after its last line",
-            found: true,
-        },
-        Case {
-            id: "a-17",
-            lines: 1,
-            cause: "has not ended, or its last line was dropped",
-            found: true,
-        },
-        Case {
-            id: "a-2",
-            lines: 0,
-            cause: "no line names a-2",
-            found: false,
-        },
-    ];
-    for case in cases {
+    for case in CASES {
         let mut child = Command::new(env!("CARGO_BIN_EXE_cumin"))
             .args(["explain-request", case.id])
             .stdin(Stdio::piped())
