--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -194,11 +194,8 @@
     /// Notifies peers that this daemon stops.
     pub fn leave(&self) {
         let mut state = self.lock();
-        let message = GossipMessage::Leaving(state.mesh.me().clone());
-        let mut to = state.mesh.near_peers();
-        to.extend(state.mesh.relays());
-        drop(state);
-        self.send_all(&to, &message);
+        let me = state.mesh.me().clone();
+        self.send_to_fleet(&mut state, |_| GossipMessage::Leaving(me.clone()));
     }
 
     fn send_all(&self, peers: &[SocketAddr], message: &GossipMessage) {
--- a/cuminspreadd/src/edge/state/service_queue.rs
+++ b/cuminspreadd/src/edge/state/service_queue.rs
@@ -29,14 +29,18 @@
     /// Removes a request and wakes the first of the rest.
     pub fn remove(&mut self, now: Mono, ticket: Ticket, queued: &QueuedRequest) {
         self.order.remove(ticket, queued);
-        self.waiters.remove(&ticket);
-        self.wake(now);
+        self.forget(now, ticket);
     }
 
     /// Removes a request that is sent and wakes the first of the rest.
     pub fn remove_sent(&mut self, now: Mono, ticket: Ticket, queued: &QueuedRequest) {
         self.order.remove_sent(now, ticket, queued);
-        self.remove(now, ticket, queued);
+        self.forget(now, ticket);
+    }
+
+    fn forget(&mut self, now: Mono, ticket: Ticket) {
+        self.waiters.remove(&ticket);
+        self.wake(now);
     }
 
     /// Wakes the first request.
