forward: a peer refuses at once what it has no server for either

Found by reading the change: a daemon that had lost a service itself probed its servers for each forwarded request before it refused it, 40 ms and more where connections hang, of which the first daemon may meet four.

Change: it refuses by its belief, as it forwards its own callers' requests by it.

a_forwarded_request_goes_no_further, now with connections that hang and a bound of 30 ms: 42 ms before, passes after.

--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -158,8 +158,18 @@
     history: &mut History,
     attempts: &mut Attempts<'a>,
 ) -> Reply {
-    if req.origin == Origin::Caller && edge.servers().is_lost(&req.service) {
-        return forward_or_refuse(edge, req, committed, history).await;
+    if edge.servers().is_lost(&req.service) {
+        return match req.origin {
+            Origin::Caller => forward_or_refuse(edge, req, committed, history).await,
+            Origin::Peer => final_reply(
+                edge,
+                req,
+                history,
+                None,
+                RefusalReason::NoServer,
+                "unplaced",
+            ),
+        };
     }
     edge.servers()
         .deposit_retry(&req.service, &edge.edge_settings);
--- a/cuminspreadd/tests/edge/forwarding.rs
+++ b/cuminspreadd/tests/edge/forwarding.rs
@@ -20,6 +20,10 @@
 /// Time in which daemons learn from hellos where their peers take requests.
 const INTRODUCTION_TIME: Duration = Duration::from_millis(1500);
 
+/// Time within which a peer refuses what it has no server for either; a probe of a server that
+/// doesn't answer takes longer.
+const HOP_REFUSAL_BOUND: Duration = Duration::from_millis(30);
+
 fn order(id: &str) -> ClientRequest<'_> {
     ClientRequest {
         method: "POST",
@@ -124,8 +128,11 @@
     let fixture = Fixture::new(2, route(true)).await;
     let daemons = start_cut_fleet(&fixture, 3, 1).await;
     let runs = fixture.runs();
+    cut_daemons(&fixture, 1, Some(Cut::Hang));
     let peer = daemons[0].forward().unwrap();
+    let began = Instant::now();
     let res = caller::send(peer, &order("hop").text()).await;
+    assert!(began.elapsed() < HOP_REFUSAL_BOUND, "{:?}", began.elapsed());
     assert_eq!((res.status, res.outcome()), (503, "not-run"));
     assert_eq!(res.field("cumin-reason"), Some("no_server"));
     assert_eq!(fixture.runs(), runs);
