forward: heads of forwarded requests may be as long as callers' ones

Found by reading the change: the fields that daemons add between each other counted against the limits on callers' and servers' heads. A request with as many fields as callers may send was answered 502 through a peer.

Change: listeners and connections between daemons take 8 fields and 1 KiB more.

as_many_fields_as_callers_may_send_come_through_a_peer: 502 before, 200 after.

--- a/cuminspreadd/src/edge/forward.rs
+++ b/cuminspreadd/src/edge/forward.rs
@@ -24,6 +24,7 @@
 
 use super::request::{InboundRequest, Reply};
 use super::state::Edge;
+use crate::settings::Settings;
 
 /// Peers that one request is offered to.
 const MAX_PEERS: usize = 4;
@@ -33,6 +34,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which idle connections to peers are closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Fields that the head of a forwarded request, or of its response, may have beyond the limit on those
+/// of callers and servers.
+pub const ADDED_FIELDS: usize = 8;
+/// Bytes that such a head may have beyond the same limit.
+pub const ADDED_HEAD_BYTES: usize = 1024;
 /// Largest body of a refusal.
 const MAX_REFUSAL_BYTES: usize = 4096;
 
@@ -59,13 +65,16 @@
         }
     }
 
-    /// Connections to a peer, which knows this daemon by the host of its own address `from`.
-    fn upstream(&mut self, peer: SocketAddr, from: SocketAddr) -> Arc<Upstream> {
+    /// Connections to a peer, which knows this daemon by the host of its own address.
+    fn upstream(&mut self, peer: SocketAddr, settings: &Settings) -> Arc<Upstream> {
         let upstream = self.upstreams.entry(peer).or_insert_with(|| {
+            let to_servers = &settings.servers.connections;
             let settings = UpstreamSettings {
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_timeout: IDLE_TIMEOUT,
-                source: Some(from.ip()).filter(|ip| !ip.is_unspecified()),
+                max_head: to_servers.max_head + ADDED_HEAD_BYTES,
+                max_headers: to_servers.max_headers + ADDED_FIELDS,
+                source: Some(settings.peer.ip()).filter(|ip| !ip.is_unspecified()),
                 ..UpstreamSettings::default()
             };
             let name = Name::new(peer.to_string());
@@ -173,7 +182,7 @@
         .peers
         .choose(now, &req.service, tried, &mut servers.rng)?;
     pool.peers.record_sent(peer);
-    Some((peer, pool.upstream(peer, edge.settings.peer)))
+    Some((peer, pool.upstream(peer, &edge.settings)))
 }
 
 /// Sends a request to a peer and reads its response.
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -37,7 +37,7 @@
 
 use super::attempt::{OutboundRequest, forwarded};
 use super::call;
-use super::forward::{mark_response, take_fields};
+use super::forward::{ADDED_FIELDS, ADDED_HEAD_BYTES, mark_response, take_fields};
 use super::request::{InboundRequest, Origin, Reply};
 use super::state::Edge;
 use crate::body_buffer::BodyBuffer;
@@ -134,10 +134,14 @@
 ) {
     let _ = stream.set_nodelay(true);
     let max_head = edge.table().routing().limits.max_head.max(MIN_HEAD_BYTES);
+    let (added_bytes, added_fields) = match sender.origin {
+        Origin::Caller => (0, 0),
+        Origin::Peer => (ADDED_HEAD_BYTES, ADDED_FIELDS),
+    };
     let mut builder = http1::Builder::new();
     builder
-        .max_buf_size(max_head)
-        .max_headers(edge.settings.callers.max_headers);
+        .max_buf_size(max_head + added_bytes)
+        .max_headers(edge.settings.callers.max_headers + added_fields);
     let stream = InspectedStream::new(stream);
     let prefix = stream.prefix();
     let activity = Arc::new(Activity::default());
--- a/cuminspreadd/tests/edge/forwarding.rs
+++ b/cuminspreadd/tests/edge/forwarding.rs
@@ -175,6 +175,21 @@
     daemons.into_iter().for_each(EdgeDaemon::kill);
 }
 
+#[tokio::test]
+async fn as_many_fields_as_callers_may_send_come_through_a_peer() {
+    let fixture = Fixture::new(1, route(true)).await;
+    let daemons = start_cut_fleet(&fixture, 2, 1).await;
+    let fields: String = (0..96).map(|i| format!("field-{i}: x\r\n")).collect();
+    let req = ClientRequest {
+        fields: &fields,
+        ..ClientRequest::default()
+    };
+    assert_eq!(send(&daemons[1], &req).await.status, 200);
+    let res = send(&daemons[0], &req).await;
+    assert_eq!(res.status, 200, "{}", res.text());
+    daemons.into_iter().for_each(EdgeDaemon::kill);
+}
+
 #[tokio::test]
 async fn callers_can_not_set_what_peers_do() {
     let fixture = Fixture::new(1, route(true)).await;
