reachability: checks don't wait for probes that failing requests use up

Its callers came back at once, each of their requests took probes out of the daemon's limit, and the check waited for what was left.

Cause: the check shared the limit with what it explains. Ruled out: the interval between checks, 0.5 s.

Change: checks are counted in the limit, so that requests probe less, and aren't held back by it.

--- a/cuminspreadd/src/edge/state/reach.rs
+++ b/cuminspreadd/src/edge/state/reach.rs
@@ -12,8 +12,6 @@
 
 /// Time until a loss is reported to peers again, since datagrams can be lost.
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
-/// Time until a check is tried again for which no probe was allowed.
-const NO_PROBE_DELAY: Duration = Duration::from_millis(100);
 
 /// Servers of a service to open new connections to.
 #[derive(Debug)]
@@ -76,11 +74,7 @@
             let Some(reach) = self.reach.get(&service) else {
                 continue;
             };
-            let Some(due) = reach.next_check(servers.len()) else {
-                continue;
-            };
-            if due <= now && self.take_probes(now, &service, 1, settings) == 0 {
-                next = Some(next.map_or(now + NO_PROBE_DELAY, |n| n.min(now + NO_PROBE_DELAY)));
+            if reach.next_check(servers.len()).is_none() {
                 continue;
             }
             let mut rng = self.rng.clone();
@@ -96,6 +90,8 @@
                     .chain(next)
                     .min();
             } else {
+                // Counted, but not held back: requests that no server answers use up all probes.
+                self.take_probes(now, &service, chosen.len(), settings);
                 checks.push(ReachCheck {
                     service,
                     servers: chosen,
--- a/cuminspreadd/tests/edge/cut_daemons.rs
+++ b/cuminspreadd/tests/edge/cut_daemons.rs
@@ -7,15 +7,19 @@
 use cuminspread_platform::standin::server::{Cut, StandInServer};
 use cuminspread_platform::standin::store::{RouteRow, config_text};
 use cuminspreadd::edge::run::EdgeDaemon;
+use cuminspreadd::edge::settings::EdgeSettings;
 use futures_util::future::join_all;
 use tokio::time::sleep;
 
-use crate::fixture::{Fixture, send};
+use crate::caller;
+use crate::fixture::{Fixture, send, wait_for};
 
 /// Time after the start of a cut from which on the users compare daemons.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Least fraction of the first tries that cut daemons serve, relative to the others.
 const MIN_SERVED_RATIO: f64 = 0.9;
+/// Time within which a daemon must know that it reaches no server.
+const LOSS_BOUND: Duration = Duration::from_secs(1);
 /// Time between two requests to the same daemon.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -26,11 +30,24 @@
 
 /// Starts daemons with source addresses of their own.
 pub async fn start_daemons(fixture: &Fixture, count: usize) -> Vec<EdgeDaemon> {
+    let probes_per_s = EdgeSettings::default().probes_per_s;
+    start_probing_daemons(fixture, count, probes_per_s).await
+}
+
+async fn start_probing_daemons(
+    fixture: &Fixture,
+    count: usize,
+    probes_per_s: f32,
+) -> Vec<EdgeDaemon> {
     let mut daemons: Vec<EdgeDaemon> = Vec::new();
     for i in 0..count {
         let seeds: Vec<_> = daemons.first().map(EdgeDaemon::peer).into_iter().collect();
         let (mut settings, edge_settings) = fixture.settings(&seeds);
         settings.servers.connections.source = Some(source(i));
+        let edge_settings = EdgeSettings {
+            probes_per_s,
+            ..edge_settings
+        };
         let daemon = EdgeDaemon::start(settings, edge_settings).await.unwrap();
         fixture.wait_ready(&daemon).await;
         daemons.push(daemon);
@@ -91,6 +108,34 @@
     served as f64 / all.count().max(1) as f64
 }
 
+/// Services that a daemon says it has lost.
+pub async fn has_lost_status(daemon: &EdgeDaemon) -> bool {
+    let req = "GET /status HTTP/1.1\r\nhost: vm\r\nconnection: close\r\n\r\n";
+    let status = caller::send(daemon.admin(), req).await.text();
+    status.contains("\"lost_services\":[\"status\"]")
+}
+
+#[tokio::test]
+async fn a_loss_is_known_while_requests_use_up_all_probes() {
+    let fixture = Fixture::new(8, RouteRow::default()).await;
+    let daemons = start_probing_daemons(&fixture, 2, 1.0).await;
+    let daemon = &daemons[0];
+    cut_daemons(&fixture, 1, Some(Cut::Reset));
+    let req = ClientRequest::default();
+    let flood = async {
+        loop {
+            join_all((0..16).map(|_| send(daemon, &req))).await;
+        }
+    };
+    let known = wait_for("the loss", async || has_lost_status(daemon).await);
+    let took = tokio::select! {
+        took = known => took,
+        () = flood => unreachable!("it has no end"),
+    };
+    assert!(took < LOSS_BOUND, "{took:?}");
+    daemons.into_iter().for_each(EdgeDaemon::kill);
+}
+
 #[tokio::test]
 async fn first_tries_at_daemons_without_servers_are_served() {
     struct Case {
--- a/cuminspreadd/tests/edge/forwarding.rs
+++ b/cuminspreadd/tests/edge/forwarding.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::caller::{self, Caller};
-use crate::cut_daemons::{cut_daemons, start_daemons};
+use crate::cut_daemons::{cut_daemons, has_lost_status, start_daemons};
 use crate::fixture::{Fixture, send, wait_for};
 
 /// Time within which a server must learn that its caller has left; required by the users.
@@ -41,13 +41,7 @@
     for daemon in &daemons[..cut] {
         wait_for("the loss", async || {
             send(daemon, &ClientRequest::default()).await;
-            caller::send(
-                daemon.admin(),
-                "GET /status HTTP/1.1\r\nhost: vm\r\nconnection: close\r\n\r\n",
-            )
-            .await
-            .text()
-            .contains("\"lost_services\":[\"status\"]")
+            has_lost_status(daemon).await
         })
         .await;
     }
