--- a/cuminspread/src/state/routing.rs
+++ b/cuminspread/src/state/routing.rs
@@ -44,6 +44,10 @@
     pub max_attempts: u8,
     /// Services that its requests are divided among; at least one.
     pub services: Vec<WeightedService>,
+    /// Regions whose servers and daemons may have its requests; empty for all. Messages carry them
+    /// outside of the route.
+    #[serde(skip)]
+    pub allowed_regions: Vec<Name>,
 }
 
 /// Settings of one service.
@@ -56,6 +60,10 @@
     pub probe_path: Name,
     /// Connections that one server accepts from all daemons together.
     pub max_connections: u32,
+    /// Mean time between the requests that a cold server bears from all daemons together; `None`
+    /// without a limit. Messages carry it outside of the service.
+    #[serde(skip)]
+    pub cold_interval: Option<Duration>,
 }
 
 /// Limits on requests and connections of callers.
