evacuation: servers of an emptied data centre get nothing until the operator takes that back

Cause: the store's requests to empty a data centre weren't read, so requests, probes and reachability checks went on to its servers.

Ruled out: a message for each request and each end. One that comes and goes between two reads, a compacted history, a restart and lost datagrams would each need a rule of their own. Also a field in the store update itself: messages are encoded without names, so older daemons would read it as something else.

Change: a read of the store gives the emptied data centres, complete up to its revision. Of two sets the one that is complete to the later revision replaces the other as a whole (coordination/evacuation.rs). Format 5 appends the set to store updates and pull responses, with the regions of routes and cold intervals of services, which the encoding leaves out. A set that was ever not empty also goes with hellos and their answers, so that daemons hear of it while the store is down. The sample read after a restart covers all that the operator writes. Servers of emptied data centres are left out of placement, probes and checks, and looked at once more when a request is sent; a service with no others is refused at once (reason 'emptied'). A daemon whose own data centre is emptied chooses its subset among the far servers. A configuration that came without its terms is used with those of the version before, and replaced by the same version with them.

An older daemon ignores what follows a message, drops the message of its own as unknown, and passes neither on. A daemon of this format therefore doesn't take an older daemon's read for one of emptied data centres: it reads itself, from the revision up to which it knows them, so that one more daemon reads while both formats run.

Tests: evacuation::* with whole daemons; with the requests not decoded, two of the three fail. gossip_format has format 5 beside 4. The stand-in of a lost reader in reader_loss is of the present format, so its updates carry the set, too; its checks are unchanged. The fuzz corpus was written anew for the format.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -5,7 +5,7 @@
 //! for the messages between daemons.
 //!
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
-//! [`catalog`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
+//! [`catalog`], [`evacuation`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
 //! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`],
 //! [`forwarding`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
 
@@ -16,6 +16,7 @@
 pub mod crash;
 pub mod decaying_rate;
 pub mod dispatch;
+pub mod evacuation;
 pub mod event;
 pub mod forwarding;
 pub mod hold_off;
--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -33,6 +33,8 @@
     NoConfiguration,
     /// The service has no server that takes requests.
     NoServer,
+    /// All servers of the service are in data centres that are emptied.
+    Emptied,
     /// No server will have a free slot in time.
     NoRoom,
     /// All servers want nothing of this daemon for a time.
@@ -56,6 +58,7 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::NoServer => "no_server",
+            Self::Emptied => "emptied",
             Self::NoRoom => "no_room",
             Self::Paused { .. } => "paused",
             Self::Limited => "limited",
@@ -79,7 +82,7 @@
 pub fn retry_after(reason: RefusalReason, service: ServiceState, rng: &mut Pcg32) -> Duration {
     let expected = match reason {
         RefusalReason::NoConfiguration | RefusalReason::Outdated => CONFIGURATION_DELAY,
-        RefusalReason::NoServer => REGISTRATION_DELAY,
+        RefusalReason::NoServer | RefusalReason::Emptied => REGISTRATION_DELAY,
         // On average half of the running requests end within half the processing time. An overload
         // is expected to last as long again as it has lasted, and a caller that comes back sooner
         // would take the place of one that can still be served in time.
--- a/cuminspread/src/coordination/store_read.rs
+++ b/cuminspread/src/coordination/store_read.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::coordination::catalog::{Revision, RevisionedChange, ServerEntry};
+use crate::coordination::evacuation::EvacuationRead;
 use crate::state::routing::Routing;
 
 /// Why a read failed.
@@ -27,7 +28,7 @@
 }
 
 /// Result of a read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ReadResult {
     /// Revision of the store up to which the result is complete; its number is 0 for a sample.
     pub revision: Revision,
@@ -35,10 +36,25 @@
     pub routing: Option<Arc<Routing>>,
     /// Servers in the result.
     pub servers: Servers,
+    /// Emptied data centres in the result.
+    pub evacuations: EvacuationRead,
     /// The answer may have been cut at its largest size, so that newer changes follow.
     pub may_have_more: bool,
 }
 
+impl ReadResult {
+    /// Result without any content; `revision` is that of the read.
+    pub fn new(revision: Revision, servers: Servers) -> Self {
+        Self {
+            revision,
+            routing: None,
+            servers,
+            evacuations: EvacuationRead::Unread,
+            may_have_more: false,
+        }
+    }
+}
+
 /// Registry entries or changes in a result.
 #[derive(Debug)]
 pub enum Servers {
@@ -50,16 +66,10 @@
     Sample(Vec<(Revision, ServerEntry)>),
 }
 
-impl Default for Servers {
-    fn default() -> Self {
-        Self::Changes(Vec::new())
-    }
-}
-
 /// Part of the store that one call reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Part {
-    /// The configuration.
+    /// The configuration and the emptied data centres.
     Config,
     /// One of sixteen groups of the servers, chosen by this number.
     ServerGroup(u64),
--- a/cuminspread/src/protocol/gossip.rs
+++ b/cuminspread/src/protocol/gossip.rs
@@ -7,9 +7,13 @@
 //! [`encode`] appends an extension to a message: the sender's [`FORMAT`] and the era of the
 //! message's revisions. Daemons of format 1 neither send nor read it; their revisions have an
 //! unknown era, 0, and so are older than those of any known one. Since format 4 the ports follow on
-//! which the daemons in the message take forwarded requests. A later format may append more, which
+//! which the daemons in the message take forwarded requests. Since format 5 a [`StoreUpdate`] and a
+//! [`PullResponse`] are followed by [`Additions`]: the emptied data centres that the sender knows,
+//! and what the encoding of routes and services leaves out. A later format may append more, which
 //! this one ignores.
 
+mod additions;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,15 +22,21 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::catalog::{Revision, RevisionedChange, ServerEntry};
+use crate::coordination::evacuation::Evacuations;
 use crate::coordination::reader::ReadAttempt;
 use crate::state::Name;
 use crate::state::routing::{Routing, RoutingDelta};
 
+use self::additions::Terms;
+pub use self::additions::{Additions, EvacuationReport, terms_len};
+
 /// Longest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
 /// Format of the messages that this daemon sends.
-pub const FORMAT: u8 = 4;
+pub const FORMAT: u8 = 5;
+/// First format with [`Additions`].
+const ADDITIONS_FORMAT: u8 = 5;
 
 /// What follows a message; only fields at the end may be added.
 #[derive(Debug, Clone, Copy)]
@@ -51,6 +61,14 @@
 
     /// The same daemons in the same order.
     fn daemons_mut(&mut self) -> Vec<&mut Daemon>;
+
+    /// What follows the message since format 5; `None` if nothing does.
+    fn additions(&self) -> Option<Additions> {
+        None
+    }
+
+    /// Sets what follows the message.
+    fn set_additions(&mut self, _additions: Additions) {}
 }
 
 /// Encodes a message and its extension.
@@ -66,7 +84,11 @@
     let daemons = message.daemons().into_iter();
     let ports: Vec<u16> = daemons.map(|d| d.forward_port).collect();
     let bytes = postcard::to_extend(&extension, postcard::to_stdvec(message)?)?;
-    postcard::to_extend(&ports, bytes)
+    let bytes = postcard::to_extend(&ports, bytes)?;
+    match message.additions() {
+        Some(additions) => postcard::to_extend(&additions, bytes),
+        None => Ok(bytes),
+    }
 }
 
 /// Decodes a message of any format.
@@ -82,10 +104,14 @@
     let (extension, rest) = postcard::take_from_bytes::<Extension>(rest)?;
     message.set_era(extension.era);
     if !rest.is_empty() {
-        let (ports, _) = postcard::take_from_bytes::<Vec<u16>>(rest)?;
+        let (ports, rest) = postcard::take_from_bytes::<Vec<u16>>(rest)?;
         for (daemon, port) in message.daemons_mut().into_iter().zip(ports) {
             daemon.forward_port = port;
         }
+        if extension.format >= ADDITIONS_FORMAT && message.additions().is_some() {
+            let (additions, _) = postcard::take_from_bytes::<Additions>(rest)?;
+            message.set_additions(additions);
+        }
     }
     Ok(message)
 }
@@ -186,6 +212,10 @@
     pub can_serve: bool,
     /// Whether the receiver forwards it to the peers of its data centre.
     pub relay: bool,
+    /// Emptied data centres that the sender knows; `None` if it is of a format before 5. Since then
+    /// after the message.
+    #[serde(skip)]
+    pub evacuations: Option<Evacuations>,
 }
 
 /// Report that a request crashed the server that ran it.
@@ -284,6 +314,8 @@
     ServerLeaving(LeavingReport),
     /// A daemon reaches no server of a service, or one again; since format 4.
     Reach(ReachReport),
+    /// Emptied data centres that the sender knows; since format 5.
+    Evacuations(EvacuationReport),
 }
 
 /// Asks a peer for all changes after the sender's versions.
@@ -330,6 +362,10 @@
     pub busy: bool,
     /// A sample of the peers that the responder knows.
     pub peers: Vec<KnownPeer>,
+    /// Emptied data centres that the responder knows; `None` if it is busy or of a format before 5.
+    /// Since then after the message.
+    #[serde(skip)]
+    pub evacuations: Option<Evacuations>,
 }
 
 impl Message for GossipMessage {
@@ -367,6 +403,25 @@
             _ => Vec::new(),
         }
     }
+
+    fn additions(&self) -> Option<Additions> {
+        let Self::StoreUpdate(update) = self else {
+            return None;
+        };
+        Some(Additions {
+            evacuations: update.evacuations.as_ref().map(EvacuationReport::from),
+            terms: update.routing.as_ref().and_then(Terms::of_delta),
+        })
+    }
+
+    fn set_additions(&mut self, additions: Additions) {
+        if let Self::StoreUpdate(update) = self {
+            update.evacuations = additions.evacuations.map(Evacuations::from);
+            if let (Some(delta), Some(terms)) = (&mut update.routing, additions.terms) {
+                terms.add_to_delta(delta);
+            }
+        }
+    }
 }
 
 impl Message for PullRequest {
@@ -416,4 +471,18 @@
     fn daemons_mut(&mut self) -> Vec<&mut Daemon> {
         self.peers.iter_mut().map(|p| &mut p.daemon).collect()
     }
+
+    fn additions(&self) -> Option<Additions> {
+        Some(Additions {
+            evacuations: self.evacuations.as_ref().map(EvacuationReport::from),
+            terms: self.routing.as_ref().and_then(Terms::of_update),
+        })
+    }
+
+    fn set_additions(&mut self, additions: Additions) {
+        self.evacuations = additions.evacuations.map(Evacuations::from);
+        if let (Some(routing), Some(terms)) = (&mut self.routing, additions.terms) {
+            terms.add_to_update(routing);
+        }
+    }
 }
--- a/cuminspread/src/state/routing.rs
+++ b/cuminspread/src/state/routing.rs
@@ -92,7 +92,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Routing {
     /// Number that grows with each change.
@@ -103,6 +103,23 @@
     pub services: Vec<ServiceSpec>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Whether regions of routes and cold intervals of services are known; a message of a daemon
+    /// that doesn't know them lacks them.
+    #[serde(skip)]
+    pub terms_known: bool,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Self {
+            version: 0,
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits: CallerLimits::default(),
+            // There is nothing that could lack them.
+            terms_known: true,
+        }
+    }
 }
 
 /// Difference between two versions; it can be applied to `base` only.
@@ -121,6 +138,9 @@
     pub services: Option<Vec<ServiceSpec>>,
     /// Limits on callers; `None` if they didn't change.
     pub limits: Option<CallerLimits>,
+    /// Whether regions of routes and cold intervals of services are known.
+    #[serde(skip)]
+    pub terms_known: bool,
 }
 
 impl Routing {
@@ -140,6 +160,7 @@
             removed: removed.cloned().collect(),
             services: (self.services != base.services).then(|| self.services.clone()),
             limits: (self.limits != base.limits).then(|| self.limits.clone()),
+            terms_known: self.terms_known && base.terms_known,
         }
     }
 
@@ -156,8 +177,33 @@
             routes: kept.chain(&delta.upserted).cloned().collect(),
             services: delta.services.unwrap_or_else(|| self.services.clone()),
             limits: delta.limits.unwrap_or_else(|| self.limits.clone()),
+            terms_known: self.terms_known && delta.terms_known,
         })
     }
+
+    /// Takes the regions of routes and the cold intervals of services from an earlier version, in
+    /// place of those that a daemon that doesn't know them has left out.
+    #[must_use]
+    pub fn with_terms_of(&self, earlier: &Self) -> Self {
+        let mut next = self.clone();
+        let known = earlier.routes.iter().map(|r| (&r.name, r));
+        let known: HashMap<&Name, &Arc<Route>> = known.collect();
+        for route in &mut next.routes {
+            if let Some(before) = known.get(&route.name)
+                && route.allowed_regions != before.allowed_regions
+            {
+                let regions = &mut Arc::make_mut(route).allowed_regions;
+                regions.clone_from(&before.allowed_regions);
+            }
+        }
+        for service in &mut next.services {
+            let before = earlier.services.iter().find(|s| s.name == service.name);
+            if let Some(before) = before {
+                service.cold_interval = before.cold_interval;
+            }
+        }
+        next
+    }
 }
 
 /// A configuration with its routes indexed by host and prefix.
--- a/cuminspread/tests/gossip_format.rs
+++ b/cuminspread/tests/gossip_format.rs
@@ -1,14 +1,17 @@
 //! Messages between daemons of different formats.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminspread::coordination::catalog::{Change, Revision, RevisionedChange};
+use cuminspread::coordination::evacuation::Evacuations;
 use cuminspread::protocol::gossip::{
-    Daemon, GossipMessage, KnownPeer, MAX_DATAGRAM_BYTES, PullRequest, PullResponse,
-    RegistryUpdate, StoreUpdate, Versions, decode, encode,
+    Daemon, FORMAT, GossipMessage, KnownPeer, MAX_DATAGRAM_BYTES, PullRequest, PullResponse,
+    RegistryUpdate, RoutingUpdate, StoreUpdate, Versions, decode, encode,
 };
 use cuminspread::state::Name;
+use cuminspread::state::routing::{Route, Routing, ServiceSpec, WeightedService};
 
 fn removal(revision: Revision) -> RevisionedChange {
     RevisionedChange {
@@ -44,6 +47,7 @@
         routing: None,
         can_serve: true,
         relay: true,
+        evacuations: None,
     }))
 }
 
@@ -118,6 +122,154 @@
     assert_eq!(decode::<GossipMessage>(bytes).unwrap(), peers(0));
 }
 
+fn evacuations(era: u64, data_centres: &[&str]) -> Evacuations {
+    let number = |number| Revision { era, number };
+    let data_centres = data_centres.iter().map(|d| (Name::new(d), number(298)));
+    Evacuations {
+        as_of: number(300),
+        data_centres: data_centres.collect(),
+    }
+}
+
+fn routing(version: u64, regions: &[&str]) -> Routing {
+    let route = |name, regions: &[&str]| {
+        Arc::new(Route {
+            name: Name::new(name),
+            host: Name::new("shop.example"),
+            prefix: Name::new("/"),
+            idempotent: true,
+            timeout: Duration::from_secs(2),
+            latency_target: Duration::from_secs(1),
+            priority: 1,
+            max_attempts: 2,
+            services: vec![WeightedService {
+                service: Name::new("status"),
+                weight: 1,
+            }],
+            allowed_regions: regions.iter().map(Name::new).collect(),
+        })
+    };
+    let service = |name, cold_interval| ServiceSpec {
+        name: Name::new(name),
+        probe_path: Name::new("/healthz"),
+        max_connections: 260,
+        cold_interval,
+    };
+    Routing {
+        version,
+        routes: vec![route("a", &[]), route("b", regions)],
+        services: vec![
+            service("orders", None),
+            service("status", Some(Duration::from_millis(400 + version))),
+        ],
+        terms_known: true,
+        ..Routing::default()
+    }
+}
+
+/// The message as a daemon of format 4 would have sent it: without what follows the ports.
+fn cut_to_format_4(bytes: &[u8], message_len: usize, era_len: usize, ports_len: usize) -> Vec<u8> {
+    let mut cut = bytes[..message_len + 1 + era_len + ports_len].to_vec();
+    assert_eq!(cut[message_len], FORMAT);
+    cut[message_len] = 4;
+    cut
+}
+
+#[test]
+fn emptied_data_centres_and_terms_follow_messages_about_the_store() {
+    struct Case {
+        name: &'static str,
+        emptied: &'static [&'static str],
+        regions: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "nothing is known of them but that there are none",
+            emptied: &[],
+            regions: &[],
+        },
+        Case {
+            name: "two emptied data centres and a route with regions",
+            emptied: &["helsestasjon", "skolesenter"],
+            regions: &["vestfjord", "nord"],
+        },
+    ];
+    for case in cases {
+        let known = Some(evacuations(3, case.emptied));
+        let (before, after) = (routing(8, &["ost"]), routing(9, case.regions));
+        let delta = after.delta_from(&before);
+        assert!(delta.terms_known);
+        let GossipMessage::StoreUpdate(mut sent) = update(3) else {
+            unreachable!();
+        };
+        sent.routing = Some(delta.clone());
+        sent.evacuations = known.clone();
+        let sent = GossipMessage::StoreUpdate(sent);
+        let bytes = encode(&sent).unwrap();
+        assert_eq!(
+            decode::<GossipMessage>(&bytes).unwrap(),
+            sent,
+            "{}",
+            case.name
+        );
+        assert_eq!(before.apply(delta.clone()).unwrap(), after, "{}", case.name);
+        let message_len = postcard::to_stdvec(&sent).unwrap().len();
+        let older = cut_to_format_4(&bytes, message_len, 1, 2);
+        let GossipMessage::StoreUpdate(read) = decode(&older).unwrap() else {
+            panic!("{}", case.name);
+        };
+        assert_eq!(read.evacuations, None, "{}", case.name);
+        assert!(!read.routing.unwrap().terms_known, "{}", case.name);
+
+        for routing in [
+            RoutingUpdate::Full(Arc::new(after.clone())),
+            RoutingUpdate::Delta(delta.clone()),
+        ] {
+            let sent = PullResponse {
+                routing: Some(routing),
+                evacuations: known.clone(),
+                ..response(3)
+            };
+            let bytes = encode(&sent).unwrap();
+            assert_eq!(
+                decode::<PullResponse>(&bytes).unwrap(),
+                sent,
+                "{}",
+                case.name
+            );
+            let message_len = postcard::to_stdvec(&sent).unwrap().len();
+            let older = cut_to_format_4(&bytes, message_len, 1, 1);
+            let read: PullResponse = decode(&older).unwrap();
+            assert_eq!(read.evacuations, None, "{}", case.name);
+            let terms_known = match read.routing.unwrap() {
+                RoutingUpdate::Full(routing) => routing.terms_known,
+                RoutingUpdate::Delta(delta) => delta.terms_known,
+            };
+            assert!(!terms_known, "{}", case.name);
+        }
+
+        let report = GossipMessage::Evacuations((&evacuations(3, case.emptied)).into());
+        let read = decode::<GossipMessage>(&encode(&report).unwrap()).unwrap();
+        assert_eq!(read, report);
+        let GossipMessage::Evacuations(read) = read else {
+            panic!("{}", case.name);
+        };
+        assert_eq!(Evacuations::from(read), evacuations(3, case.emptied));
+    }
+}
+
+#[test]
+fn terms_that_a_daemon_left_out_are_taken_from_an_earlier_version() {
+    let mut newer = routing(9, &[]);
+    newer.terms_known = false;
+    newer.services[1].cold_interval = None;
+    let filled = newer.with_terms_of(&routing(8, &["nord"]));
+    assert!(!filled.terms_known, "they may have changed");
+    assert_eq!(filled.routes, routing(8, &["nord"]).routes);
+    assert_eq!(filled.services, routing(8, &[]).services);
+    assert_eq!(filled.version, 9);
+}
+
 #[test]
 fn revisions_of_an_unknown_era_are_older_than_those_of_a_known_one() {
     let unknown = Revision {
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -4,10 +4,11 @@
 //! [`ReadSchedule`], [`Mesh`] and [`Catalog`] make the decisions; one mutex guards them, which is
 //! never held across an await.
 
+mod evacuation;
 mod store;
 mod sync;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,6 +16,7 @@
 
 use anyhow::Context as _;
 use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
+use cuminspread::coordination::evacuation::Evacuations;
 use cuminspread::coordination::forwarding::ForwardPeer;
 use cuminspread::coordination::leaving::{LeavingServers, LeavingSource};
 use cuminspread::coordination::mesh::Mesh;
@@ -23,6 +25,7 @@
     CrashReport, Daemon, GossipMessage, LeavingReport, LimitReport, PullResponse, ReachReport,
     ReadAttemptReport, Versions,
 };
+use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip::{self, Gossip};
 use cuminspread_platform::store::StoreClient;
@@ -59,11 +62,21 @@
     read_schedule: ReadSchedule,
     mesh: Mesh,
     leaving: LeavingServers,
+    evacuations: Evacuations,
+    /// Some data centre has been emptied since the start.
+    evacuations_seen: bool,
+    /// The active configuration lacks its terms, and a peer may have them.
+    wants_terms: bool,
+    /// Active version at the last snapshot of the store, which has its terms unless the store has
+    /// lost that version.
+    terms_read_for: u64,
     /// Revisions of the last updates that this daemon published, newest last.
     published_revisions: Vec<Revision>,
     /// Version of the last published update, and the version published before that one.
     published_version: u64,
     previous_version: u64,
+    /// Emptied data centres of the last published update.
+    published_evacuations: BTreeMap<Name, Revision>,
     /// Peer that can serve a newer revision or version than this daemon has.
     newer_peer: Option<SocketAddr>,
     /// Newest versions that any daemon is known to have.
@@ -85,6 +98,8 @@
     have: Versions,
     /// Versions that the peer has after the response.
     versions: Versions,
+    /// Revision up to which the emptied data centres in the response are complete.
+    evacuations_as_of: Revision,
     bytes: Arc<[u8]>,
 }
 
@@ -151,9 +166,14 @@
                 seed,
             ),
             leaving: LeavingServers::new(seed),
+            evacuations: Evacuations::default(),
+            evacuations_seen: false,
+            wants_terms: false,
+            terms_read_for: 0,
             published_revisions: Vec::new(),
             published_version: 0,
             previous_version: 0,
+            published_evacuations: BTreeMap::new(),
             newer_peer: None,
             wanted: Versions::default(),
             applied_to: Revision::default(),
@@ -224,6 +244,7 @@
             reads_store: state.read_schedule.role() == Role::Reader,
             store_age: state.read_schedule.age(now),
             failed_reads: state.read_schedule.failures(),
+            evacuations: state.evacuations.clone(),
             sent_bytes: self.gossip.counts().sent_bytes.load(Ordering::Relaxed),
             received_bytes: self.gossip.counts().received_bytes.load(Ordering::Relaxed),
         }
@@ -429,6 +450,9 @@
             let probe_rate = self.probe_rate_message(now);
             self.send_all(&targets, &hello);
             self.send_all(&targets, &probe_rate);
+            if let Some(report) = evacuation::report(&state) {
+                self.send_all(&targets, &report);
+            }
         }
         let expired = state.catalog.expire(now);
         let confirmed = state.catalog.confirm_restored(now);
@@ -442,7 +466,7 @@
             if state.read_schedule.role() == Role::Follower {
                 self.send_read_attempt(&mut state, ReadAttempt::Begun);
             }
-            let after = state.catalog.revision();
+            let after = self.read_after(&state);
             tokio::spawn(Arc::clone(self).read(after, limit));
         }
         let next = state
@@ -558,6 +582,8 @@
     pub store_age: Option<Duration>,
     /// Consecutive reads of this daemon that failed.
     pub failed_reads: u32,
+    /// Emptied data centres.
+    pub evacuations: Evacuations,
     /// Bytes sent to peers since the start.
     pub sent_bytes: u64,
     /// Bytes received from peers since the start.
--- a/cuminspreadd/src/edge/control/store.rs
+++ b/cuminspreadd/src/edge/control/store.rs
@@ -143,6 +143,8 @@
             state.read_schedule.read_now(now);
         }
         let lapsed = now < state.lapse_until;
+        let evacuations = state.evacuations.apply(result.evacuations, result.revision);
+        self.apply_evacuations(&mut state, &evacuations, &"store", Duration::ZERO);
         // Before the revision, so that no peer gets a revision without its configuration.
         if let Some(routing) = result.routing {
             self.edge.activate(routing, "store");
@@ -157,7 +159,10 @@
                     });
                 apply_to_catalog(&mut state.catalog, now, reported.collect(), lapsed)
             }
-            Servers::Snapshot(all) => state.catalog.reconcile(now, result.revision, all, lapsed),
+            Servers::Snapshot(all) => {
+                state.terms_read_for = self.edge.version();
+                state.catalog.reconcile(now, result.revision, all, lapsed)
+            }
             Servers::Changes(changes) => apply_to_catalog(&mut state.catalog, now, changes, lapsed),
         };
         if !partial {
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -7,17 +7,18 @@
 use std::time::Duration;
 
 use cuminspread::coordination::catalog::{Revision, RevisionedChange};
+use cuminspread::coordination::evacuation::Evacuations;
 use cuminspread::coordination::reader::Role;
 use cuminspread::protocol::gossip::{
-    Daemon, GossipMessage, PullRequest, PullResponse, RegistryUpdate, RoutingUpdate, StoreUpdate,
-    Versions,
+    self as messages, Daemon, GossipMessage, PullRequest, PullResponse, RegistryUpdate,
+    RoutingUpdate, StoreUpdate, Versions,
 };
 use cuminspread::state::routing::{Routing, RoutingDelta};
 use cuminspread::state::time::Mono;
 use cuminspread::transport::gossip;
 use tokio::time::{sleep, timeout};
 
-use super::{Control, EncodedResponse, SyncState, random_fraction};
+use super::{Control, EncodedResponse, SyncState, evacuation, random_fraction};
 
 /// Updates that repeat a change, since datagrams can be lost.
 const CHANGE_REPEATS: usize = 3;
@@ -32,8 +33,12 @@
 const MAX_PULL_DELAY: Duration = Duration::from_millis(300);
 /// Time after an update at which its versions are sent again, so that peers that missed it pull it.
 const REPEAT_DELAY: Duration = Duration::from_millis(200);
-/// Changes in one datagram; each takes at most 90 bytes if ids have the usual length.
+/// Changes in one datagram that names no emptied data centre.
 const CHANGES_PER_DATAGRAM: usize = 12;
+/// Bytes that a change takes at most if ids have the usual length.
+const CHANGE_BYTES: usize = 90;
+/// Bytes that an emptied data centre takes at most beside its name: a length and a revision.
+const EVACUATION_BYTES: usize = 12;
 /// Datagrams of one update; if they can't hold all changes, peers pull them instead.
 const MAX_DATAGRAMS: usize = 3;
 /// Delay of the first pull attempt while no peer is known that can serve the update.
@@ -70,12 +75,19 @@
                 std::mem::replace(&mut state.published_version, versions.version);
         }
         let delta = self.edge.delta_from(state.previous_version);
+        let evacuations = state.evacuations.clone();
+        let emptied_changed = state.published_evacuations != evacuations.data_centres;
+        state
+            .published_evacuations
+            .clone_from(&evacuations.data_centres);
         drop(state);
-        let fits =
-            |d: &RoutingDelta| postcard::to_stdvec(d).is_ok_and(|b| b.len() <= MAX_DELTA_BYTES);
+        let fits = |d: &RoutingDelta| {
+            let len = postcard::to_stdvec(d).map_or(usize::MAX, |b| b.len());
+            len.saturating_add(messages::terms_len(d)) <= MAX_DELTA_BYTES
+        };
         let delta = delta.filter(fits);
-        let has_changes = !changes.is_empty() || delta.is_some();
-        let mut parts = split_update(&reader, versions, base, &changes);
+        let has_changes = !changes.is_empty() || delta.is_some() || emptied_changed;
+        let mut parts = split_update(&reader, versions, base, &changes, &evacuations);
         if let Some(delta) = delta {
             // The delta has a datagram of its own. It names the base revision, so that a peer
             // doesn't pull the changes that follow in the other datagrams.
@@ -108,7 +120,8 @@
         sleep(REPEAT_DELAY).await;
         let mut state = self.lock();
         let (near, relays) = (state.mesh.near_peers(), state.mesh.relays());
-        let mut update = versions_only(state.mesh.me().clone(), REPEAT_DELAY, versions);
+        let me = state.mesh.me().clone();
+        let mut update = versions_only(me, REPEAT_DELAY, versions, &state.evacuations);
         drop(state);
         self.send_update(&near, &update);
         update.relay = true;
@@ -126,8 +139,12 @@
                 let mut state = self.lock();
                 record_peer(&mut state, now, &daemon);
                 let peers = GossipMessage::Peers(state.mesh.sample_peers(now, &daemon.data_centre));
+                let evacuations = evacuation::report(&state);
                 drop(state);
                 self.gossip.send(from, &peers);
+                if let Some(evacuations) = evacuations {
+                    self.gossip.send(from, &evacuations);
+                }
                 self.gossip.send(from, &self.probe_rate_message(now));
             }
             GossipMessage::Peers(peers) => {
@@ -151,6 +168,10 @@
             GossipMessage::StoreUpdate(update) => self.handle_update(from, &update),
             GossipMessage::Leaving(daemon) => self.lock().mesh.remove(&daemon),
             GossipMessage::Crash(report) => self.handle_crash_report(report),
+            GossipMessage::Evacuations(report) => {
+                let mut state = self.lock();
+                self.adopt_evacuations(&mut state, &report.into(), &from, Duration::ZERO);
+            }
             GossipMessage::ReadAttempt(report) => self.handle_read_attempt(report),
             GossipMessage::ServerLimit(report) => self.handle_limit_report(report),
             GossipMessage::ServerLeaving(report) => self.handle_leaving_report(report),
@@ -169,9 +190,17 @@
         record_peer(&mut state, now, &update.reader);
         let revision = state.catalog.revision();
         let era = update.versions.revision.era;
+        if let Some(evacuations) = &update.evacuations {
+            self.adopt_evacuations(&mut state, evacuations, &from, update.age);
+        }
         // A read of an earlier era tells nothing of what the store holds now.
         if era >= revision.era {
             state.last_read = Some((update.reader.clone(), now - update.age));
+        }
+        // Nor does one by a daemon that doesn't know of emptied data centres tell of these.
+        let is_complete = update.evacuations.as_ref();
+        let is_complete = is_complete.is_some_and(|e| e.as_of >= update.versions.revision);
+        if era >= revision.era && is_complete {
             let previous_role = state.read_schedule.role();
             state
                 .read_schedule
@@ -196,13 +225,23 @@
         if let Some(delta) = update.routing.clone() {
             self.edge.activate_delta(delta, "peer");
         }
-        let lacks_routing = update.versions.version > self.edge.version();
+        let active = self.edge.version();
+        let lacks_routing = update.versions.version > active;
+        if update.evacuations.is_some()
+            && update.versions.version >= active
+            && update.can_serve
+            && self.lacks_terms()
+        {
+            state.wants_terms = true;
+        }
         // A revision counts as known only with its configuration: if nobody can serve that, the
         // next read of the store returns it.
         if is_contiguous && !lacks_routing {
             state.catalog.set_complete_to(update.versions.revision);
         }
-        let behind = !is_contiguous && update.versions.revision > revision || lacks_routing;
+        let behind = !is_contiguous && update.versions.revision > revision
+            || lacks_routing
+            || state.wants_terms;
         let near = if update.relay {
             state.mesh.near_peers()
         } else {
@@ -279,9 +318,10 @@
                 let _ = timeout(delay.mul_f64(0.5 + jitter), found).await;
                 delay = (delay * 2).min(MAX_PULL_DELAY);
             }
-            let (peer, have) = {
+            let (peer, have, wants_terms) = {
                 let mut state = self.lock();
                 let have = self.versions(&state);
+                let wants_terms = state.wants_terms && self.lacks_terms();
                 let reader = state.last_read.as_ref().map(|(reader, _)| reader.address);
                 let reader = reader.filter(|r| !unreachable.contains(r));
                 let last_resort = reader.filter(|_| i % READER_PULL_PERIOD == 0);
@@ -290,13 +330,16 @@
                     .take()
                     .or(last_resort)
                     .or_else(|| state.mesh.pull_peer(&unreachable));
-                (peer.or(reader), have)
+                (peer.or(reader), have, wants_terms)
             };
             if peer.is_none() {
                 unreachable.clear();
             }
             if let Some(peer) = peer {
-                match self.gossip.pull(peer, self.pull_request(have)).await {
+                // As if it had none, so that it gets all of it with its terms.
+                let version = if wants_terms { 0 } else { have.version };
+                let request = self.pull_request(Versions { version, ..have });
+                match self.gossip.pull(peer, request).await {
                     Ok(response) => self.handle_response(peer, response),
                     Err(e) => {
                         log::info!("event=pull_failed peer={peer} cause=\"{e}\"");
@@ -311,7 +354,8 @@
             }
             // Under the lock, so that a later wish starts a pull of its own.
             let mut state = self.lock();
-            let complete = reached.covers(&state.wanted);
+            state.wants_terms &= self.lacks_terms();
+            let complete = reached.covers(&state.wanted) && !state.wants_terms;
             if complete || i == MAX_PULL_ATTEMPTS {
                 if !complete {
                     log::warn!(
@@ -324,6 +368,7 @@
                     );
                 }
                 state.wanted = reached;
+                state.wants_terms = false;
                 self.pulling.store(false, Ordering::Release);
                 break;
             }
@@ -357,8 +402,12 @@
         let peers: Vec<SocketAddr> = (0..ANNOUNCE_PEERS)
             .filter_map(|_| state.mesh.random_near())
             .collect();
+        let mut update = versions_only(reader, now.since(at), versions, &state.evacuations);
         drop(state);
-        let update = versions_only(reader, now.since(at), versions);
+        if self.lacks_terms() {
+            // Peers would pull them from here.
+            update.evacuations = None;
+        }
         self.send_update(&peers, &update);
     }
 
@@ -389,6 +438,9 @@
         };
         let mut state = self.lock();
         state.mesh.merge_known(now, &response.peers);
+        if let Some(evacuations) = &response.evacuations {
+            self.adopt_evacuations(&mut state, evacuations, &peer, Duration::ZERO);
+        }
         if version > self.edge.version() {
             // Another version was activated during the pull, so the delta didn't apply.
             return;
@@ -419,13 +471,20 @@
 
     /// Encoded response to a pull; equal pulls in a row are encoded once.
     pub(super) fn encoded_response(&self, pull: &PullRequest) -> io::Result<Arc<[u8]>> {
-        let current = self.versions(&self.lock());
+        let (current, evacuations_as_of) = {
+            let state = self.lock();
+            (self.versions(&state), state.evacuations.as_of)
+        };
         {
             let encoded = self
                 .last_response
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
-            let same = |e: &&EncodedResponse| e.have == pull.have && e.versions == current;
+            let same = |e: &&EncodedResponse| {
+                e.have == pull.have
+                    && e.versions == current
+                    && e.evacuations_as_of == evacuations_as_of
+            };
             if let Some(cached) = encoded.as_ref().filter(same) {
                 return Ok(Arc::clone(&cached.bytes));
             }
@@ -438,6 +497,7 @@
         *encoded = Some(EncodedResponse {
             have: pull.have,
             versions: current,
+            evacuations_as_of,
             bytes: Arc::clone(&bytes),
         });
         Ok(bytes)
@@ -456,7 +516,10 @@
         });
         PullResponse {
             routing: newer.then(|| {
-                let delta = self.edge.delta_from(pull.have.version);
+                // A peer that names no version may have one without its terms, to which no delta
+                // applies.
+                let base = Some(pull.have.version).filter(|v| *v > 0);
+                let delta = base.and_then(|v| self.edge.delta_from(v));
                 let full = || RoutingUpdate::Full(Arc::clone(routing));
                 delta.map_or_else(full, RoutingUpdate::Delta)
             }),
@@ -464,6 +527,7 @@
             revision,
             busy: false,
             peers: state.mesh.sample_peers(now, &pull.data_centre),
+            evacuations: Some(state.evacuations.clone()),
         }
     }
 }
@@ -494,7 +558,12 @@
 }
 
 /// Update that carries only the versions that its sender can serve.
-fn versions_only(reader: Daemon, age: Duration, versions: Versions) -> StoreUpdate {
+fn versions_only(
+    reader: Daemon,
+    age: Duration,
+    versions: Versions,
+    evacuations: &Evacuations,
+) -> StoreUpdate {
     StoreUpdate {
         reader,
         age,
@@ -504,6 +573,7 @@
         routing: None,
         can_serve: true,
         relay: false,
+        evacuations: Some(evacuations.clone()),
     }
 }
 
@@ -513,21 +583,26 @@
     versions: Versions,
     base: Revision,
     changes: &[RevisionedChange],
+    evacuations: &Evacuations,
 ) -> Vec<StoreUpdate> {
-    let without_changes = versions_only(reader.clone(), Duration::ZERO, versions);
+    let without_changes = versions_only(reader.clone(), Duration::ZERO, versions, evacuations);
+    let names = evacuations.data_centres.keys();
+    let reserved = names.map(|d| d.len() + EVACUATION_BYTES).sum::<usize>();
+    let max_changes = CHANGES_PER_DATAGRAM.saturating_sub(reserved.div_ceil(CHANGE_BYTES));
+    let max_changes = max_changes.max(1);
     let with_changes = |base, changes| StoreUpdate {
         base,
         changes,
         ..without_changes.clone()
     };
-    if changes.len() > CHANGES_PER_DATAGRAM * MAX_DATAGRAMS {
+    if changes.len() > max_changes * MAX_DATAGRAMS {
         return vec![without_changes];
     }
     let mut parts = Vec::new();
     let mut base = base;
     let mut rest = changes;
-    while rest.len() > CHANGES_PER_DATAGRAM {
-        let (part, later) = rest.split_at(CHANGES_PER_DATAGRAM);
+    while rest.len() > max_changes {
+        let (part, later) = rest.split_at(max_changes);
         let last = part.last().map_or(base, |d| d.revision);
         let mut update = with_changes(base, part.to_vec());
         update.versions.revision = last;
--- a/cuminspreadd/src/edge/forward.rs
+++ b/cuminspreadd/src/edge/forward.rs
@@ -260,8 +260,9 @@
 
 /// What a peer's refusal says of the peer, by its reason.
 fn refusal_end(reason: Option<&HeaderValue>) -> (ForwardEnd, &'static str) {
-    const REASONS: [(&str, ForwardEnd); 7] = [
+    const REASONS: [(&str, ForwardEnd); 8] = [
         ("no_server", ForwardEnd::NoServer),
+        ("emptied", ForwardEnd::NoServer),
         ("outdated", ForwardEnd::Outdated),
         ("stopping", ForwardEnd::Unavailable),
         ("no_configuration", ForwardEnd::Unavailable),
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -105,7 +105,9 @@
         let (from, count) = match step {
             Step::Send(key) => {
                 let mut servers = edge.servers();
-                if servers.reserve(now, key)
+                // The data centre may have been emptied during the probes.
+                if !servers.is_in_emptied(key)
+                    && servers.reserve(now, key)
                     && let Some(server) = servers.get_mut(key)
                 {
                     let upstream = Arc::clone(&server.upstream);
@@ -329,6 +331,8 @@
     no_near: bool,
     /// At least one server has not failed recently.
     alive: bool,
+    /// All servers that would take the request are in emptied data centres.
+    all_emptied: bool,
 }
 
 impl Candidates {
@@ -351,6 +355,7 @@
             contended: servers.queue(&req.service).order.len() > 1,
         };
         let mut keys = servers.available(now, &req.service);
+        let all_emptied = keys.is_empty() && servers.has_emptied(&req.service);
         keys.retain(|k| !tried.contains(k));
         let mut candidates = Self {
             cx,
@@ -362,6 +367,7 @@
             silent: 0,
             no_near: true,
             alive: false,
+            all_emptied,
         };
         for key in keys {
             let Some(server) = servers.get_mut(key) else {
@@ -425,6 +431,7 @@
                 RefusalReason::Paused { left }
             }
             Some(HoldOffCause::Limit) => RefusalReason::Limited,
+            None if self.all_emptied => RefusalReason::Emptied,
             None => RefusalReason::NoServer,
         }
     }
--- a/cuminspreadd/src/edge/probe.rs
+++ b/cuminspreadd/src/edge/probe.rs
@@ -32,7 +32,8 @@
     Moved,
     /// No valid response.
     Failed,
-    /// The probe wasn't sent: the server is gone or this daemon has no connection left for it.
+    /// The probe wasn't sent: the server is gone or gets nothing, or this daemon has no connection
+    /// left for it.
     Unsent,
 }
 
@@ -102,6 +103,9 @@
     let table = edge.table();
     let now = edge.now();
     let mut servers = edge.servers();
+    if servers.is_in_emptied(key) {
+        return None;
+    }
     let server = servers.get_mut(key)?;
     server.probed_since.get_or_insert(now);
     let service = table.service(&server.entry.service);
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,11 +1,12 @@
 //! State that the tasks of one daemon share: active routes, servers and counters.
 
+mod emptied;
 mod reach;
 mod server_notices;
 mod service_queue;
 mod shares;
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher as _, Hasher as _, RandomState};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -109,6 +110,10 @@
     /// Servers that have said in a response that they are leaving, with the starts of their
     /// incarnations; the control task has not taken them yet.
     leaving: Vec<(Name, u64)>,
+    /// Data centres whose servers get nothing.
+    emptied: BTreeSet<Name>,
+    /// This daemon's own data centre is one of them.
+    near_emptied: bool,
     /// Generator for all random choices.
     pub rng: Pcg32,
 }
@@ -217,12 +222,20 @@
         (at > 0).then(|| self.now().since(Mono(at)))
     }
 
-    /// Activates a configuration if it is newer than the active one; returns whether it is.
+    /// Activates a configuration if it is newer than the active one or has terms that this one
+    /// lacks; returns whether it does.
     pub fn activate(&self, routing: Arc<Routing>, source: &str) -> bool {
-        let before = self.version();
-        if routing.version <= before {
+        let active = Arc::clone(self.table().routing());
+        let before = active.version;
+        let adds_terms = routing.version == before && routing.terms_known && !active.terms_known;
+        if routing.version <= before && !adds_terms {
             return false;
         }
+        let routing = if routing.terms_known {
+            routing
+        } else {
+            Arc::new(routing.with_terms_of(&active))
+        };
         let (version, routes) = (routing.version, routing.routes.len());
         let table = Arc::new(RouteTable::new(routing));
         {
@@ -372,6 +385,8 @@
             former_hold_offs: HashMap::new(),
             limit_reports: Vec::new(),
             leaving: Vec::new(),
+            emptied: BTreeSet::new(),
+            near_emptied: false,
             rng: Pcg32::new(seed, 3),
         }
     }
@@ -471,7 +486,9 @@
         let keys = self.by_service.get(service).into_iter().flatten();
         let accepts = |k: &&ServerKey| {
             let server = self.servers.get(k);
-            server.is_some_and(|s| !s.entry.draining && now >= s.moved_until)
+            server.is_some_and(|s| {
+                !s.entry.draining && now >= s.moved_until && !self.is_emptied(&s.entry.data_centre)
+            })
         };
         keys.filter(accepts).copied().collect()
     }
--- a/cuminspreadd/src/edge/state/shares.rs
+++ b/cuminspreadd/src/edge/state/shares.rs
@@ -22,7 +22,9 @@
 
 impl ServerTable {
     /// Chooses this daemon's subset of the near servers of a service, by rendezvous hashing: the
-    /// subset changes little as servers come and go, and differs between daemons.
+    /// subset changes little as servers come and go, and differs between daemons. While the own data
+    /// centre is emptied, it is one of the far servers, which would otherwise each get few requests
+    /// and a new connection for many of them.
     pub fn choose_subset(&mut self, service: &Name, settings: &PlacementSettings) {
         let subset = self.subset_sizes.get(service).copied();
         let subset = subset.unwrap_or(settings.min_subset_size);
@@ -33,7 +35,8 @@
                 continue;
             };
             server.state.in_subset = false;
-            if server.state.near && !server.entry.draining {
+            let emptied = self.emptied.contains(&server.entry.data_centre);
+            if server.state.near != self.near_emptied && !emptied && !server.entry.draining {
                 let mut hasher = DefaultHasher::new();
                 (self.subset_salt, &server.entry.id).hash(&mut hasher);
                 ranked.push((hasher.finish(), key));
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -8,6 +8,8 @@
 mod crash;
 #[path = "edge/cut_daemons.rs"]
 mod cut_daemons;
+#[path = "edge/evacuation.rs"]
+mod evacuation;
 #[path = "edge/fixture.rs"]
 mod fixture;
 #[path = "edge/forwarding.rs"]
--- a/cuminspreadd/tests/edge/reader_loss.rs
+++ b/cuminspreadd/tests/edge/reader_loss.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use cuminspread::coordination::catalog::{Change, Revision, RevisionedChange};
+use cuminspread::coordination::evacuation::Evacuations;
 use cuminspread::protocol::gossip::{Daemon, GossipMessage, StoreUpdate, Versions};
 use cuminspread::state::Name;
 use cuminspread::transport::gossip::Gossip;
@@ -88,6 +89,10 @@
             routing: None,
             can_serve: true,
             relay: false,
+            evacuations: Some(Evacuations {
+                as_of: versions.revision,
+                ..Evacuations::default()
+            }),
         }));
         for daemon in fleet {
             match self {
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cuminspread::coordination::catalog::{Change, Revision, RevisionedChange, ServerEntry};
+use cuminspread::coordination::evacuation::Evacuations;
 use cuminspread::coordination::reader::ReadAttempt;
 use cuminspread::protocol::envelope::{Envelope, EnvelopeHeader};
 use cuminspread::protocol::gossip::{
@@ -143,6 +144,10 @@
         ..Routing::default()
     };
     let delta = routing.delta_from(&base);
+    let evacuations = Evacuations {
+        as_of: revision(8),
+        data_centres: [("hall".into(), revision(7))].into(),
+    };
     let update = StoreUpdate {
         reader: daemon.clone(),
         age: Duration::from_millis(40),
@@ -155,6 +160,7 @@
         routing: Some(delta.clone()),
         can_serve: true,
         relay: true,
+        evacuations: Some(evacuations.clone()),
     };
     let messages = [
         ("hello", GossipMessage::Hello(daemon.clone())),
@@ -162,6 +168,7 @@
         ("bulletin", GossipMessage::StoreUpdate(Box::new(update))),
         ("leaving", GossipMessage::Leaving(daemon.clone())),
         ("questions", GossipMessage::ProbeRate(70)),
+        ("emptied", GossipMessage::Evacuations((&evacuations).into())),
     ];
     let messages = messages.into_iter().chain(reports(&daemon));
     let response = |routing, registry| PullResponse {
@@ -170,6 +177,7 @@
         revision: revision(8),
         busy: false,
         peers: vec![peer.clone()],
+        evacuations: Some(evacuations.clone()),
     };
     let full = RoutingUpdate::Full(Arc::new(routing));
     let responses = [
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -6,6 +6,7 @@
 
 use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
 use cuminspread::coordination::crash::{Crash, CrashDetector, CrashSettings};
+use cuminspread::coordination::evacuation::Evacuations;
 use cuminspread::coordination::mesh::{Mesh, MeshSettings};
 use cuminspread::coordination::placement::{PlacementContext, PlacementSettings, ServerState};
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
@@ -198,6 +199,9 @@
             apply_changes(&mut catalog, update.changes);
             catalog.set_complete_to(versions.revision);
             catalog.changes_since(base);
+            if let Some(evacuations) = &update.evacuations {
+                adopt_evacuations(evacuations);
+            }
             if let Some(delta) = update.routing {
                 apply_delta(delta);
             }
@@ -218,6 +222,7 @@
             let left = Catalog::default().record_leaving(&report.server, report.started_ms);
             assert!(left.is_none(), "the catalog is empty");
         }
+        GossipMessage::Evacuations(report) => adopt_evacuations(&report.into()),
         GossipMessage::Reach(report) => {
             let peer = mesh.forward_address(report.daemon, report.started_ms);
             assert!(peer.is_none(), "the mesh is empty");
@@ -268,6 +273,14 @@
     catalog.expire(NOW + Duration::from_secs(60));
 }
 
+/// A set replaces one that knows nothing, unless it knows nothing itself, and only once.
+fn adopt_evacuations(evacuations: &Evacuations) {
+    let mut known = Evacuations::default();
+    let count = known.adopt(evacuations).len();
+    assert!(evacuations.as_of == known.as_of && count <= evacuations.data_centres.len());
+    assert!(known.adopt(evacuations).is_empty());
+}
+
 /// A configuration made by a delta has the version that the delta names.
 fn apply_delta(delta: RoutingDelta) {
     let base = Routing {
