ingress: reads that are sent ahead run side by side

Cause: hyper reads and serves the requests of a connection one after the other. A caller that sends reads before the first is answered waited for the service times of all in front of it, while servers had free slots. While bytes of a later request lay in hyper's buffer, it also didn't see that the caller had left, so requests ran on. And the bytes that are checked for a length beside an encoding were those of the first request since the last response: a request that arrived in one read with another was not checked, and got 200.

Change: 'caller_stream' hands hyper one request at a time, in the bytes that arrived, and reads on while it is served. 'read_ahead' decides which requests are started then, within 'callers.max_ahead' and half of 'callers.max_buffered'; hyper's service takes the reply of the call that was started. A stop answers all that were started and closes with the last. A request's time counts from the arrival of its head, also if it waits behind others.

An older daemon: nothing passes between daemons, so nothing changes for it.

Tests that failed before: seven of those in tests/edge/ahead.rs (three reads took 1.21 s at 0.4 s each; an ambiguous request got 200; none of the requests of a caller that had left was cancelled); they pass now. The two others passed before as well.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -7,7 +7,7 @@
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
 //! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`],
-//! [`forwarding`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
+//! [`forwarding`], [`read_ahead`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
@@ -31,6 +31,7 @@
 pub mod probe;
 pub mod probe_limiter;
 pub mod reachability;
+pub mod read_ahead;
 pub mod reader;
 pub mod refusal;
 pub mod retry;
--- a/cuminspread/src/transport.rs
+++ b/cuminspread/src/transport.rs
@@ -6,4 +6,5 @@
 pub mod peer;
 pub mod platform;
 pub mod recording;
+pub mod request_scan;
 pub mod upstream;
--- /dev/null
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -0,0 +1,461 @@
+//! Connection of a caller, which hands `hyper` one request at a time and reads ahead meanwhile.
+//!
+//! `hyper` serves the requests of a connection one after the other. Bytes behind the request that it
+//! serves are kept here; they are scanned for further heads, and [`Starter`] starts those requests
+//! that may run beside the ones in front. When `hyper` gets to such a request, its service takes the
+//! call that was started. `hyper` sees exactly the bytes that arrived, in their order.
+//!
+//! While a request is served, `hyper` waits for the end of the connection. As it holds no bytes of
+//! later requests, it learns at once that the caller has left, and drops the connection with all
+//! calls.
+
+use std::collections::VecDeque;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::{Duration, Instant};
+
+use bytes::{Buf as _, BytesMut};
+use cuminspread::coordination::read_ahead::Class;
+use cuminspread::state::time::Mono;
+use cuminspread::transport::request_scan::{
+    BodyScan, Framing, Scan, ScannedHead, has_empty_line, scan_head,
+};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::ahead::{Start, StartedCall, Starter};
+
+/// Bytes read from the socket at a time while a request is served.
+const READ_BYTES: usize = 4096;
+
+/// Limits on what is read of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct StreamLimits {
+    /// Largest head, in bytes; at least as large as that of `hyper`.
+    pub max_head: usize,
+    /// Greatest number of header fields; the same as that of `hyper`.
+    pub max_fields: usize,
+}
+
+/// Part of a request that `hyper` reads next.
+#[derive(Debug)]
+enum Place {
+    Head,
+    Body(BodyScan),
+    /// No request, or one that `hyper` rejects: all bytes are handed on.
+    Untracked,
+}
+
+/// A request behind the one that is served.
+#[derive(Debug)]
+struct AheadRequest {
+    /// Bytes of its head.
+    len: usize,
+    arrived: Mono,
+    state: AheadState,
+}
+
+#[derive(Debug)]
+enum AheadState {
+    New,
+    /// Waits until it is in front.
+    Waiting,
+    Started {
+        call: StartedCall,
+        /// None behind it may be started.
+        last: bool,
+    },
+}
+
+/// The request that `hyper` has read last.
+#[derive(Debug)]
+pub struct FrontRequest {
+    /// Arrival of its head.
+    pub arrived: Mono,
+    /// Its call, if it was started before.
+    pub started: Option<StartedCall>,
+    /// Whether the head has both `Content-Length` and `Transfer-Encoding`, or may have.
+    pub ambiguous: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    starter: Starter,
+    limits: StreamLimits,
+    place: Place,
+    /// Head that is being read, or the last one.
+    head: Vec<u8>,
+    /// When the first byte of the head arrived; `None` while no head is arriving.
+    head_started: Option<Instant>,
+    front: Option<FrontRequest>,
+    /// Class of the last request; `None` until it is needed.
+    front_class: Option<Class>,
+    /// Whether the last request isn't answered completely.
+    serving: bool,
+    /// No request is started any more, since the connection closes.
+    closing: bool,
+    /// Bytes that `hyper` hasn't got.
+    buf: BytesMut,
+    /// Complete heads at the start of `buf`.
+    ahead: VecDeque<AheadRequest>,
+    /// Bytes of these heads.
+    scanned: usize,
+    /// Whether no head can be found behind them.
+    scan_ended: bool,
+    /// Wakes the connection's task when the request has been answered.
+    waker: Option<Waker>,
+}
+
+/// What a connection's stream, its service and its timers share.
+#[derive(Debug, Clone)]
+pub struct CallerConnection(Arc<Mutex<State>>);
+
+impl CallerConnection {
+    /// Takes the request that `hyper` has just read.
+    pub fn take_front(&self) -> Option<FrontRequest> {
+        self.lock().front.take()
+    }
+
+    /// Records that the request's response was written or given up.
+    pub fn end_request(&self) {
+        let waker = {
+            let mut state = self.lock();
+            state.serving = false;
+            state.waker.take()
+        };
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    /// Lets the connection close after the response that is about to be written, unless requests
+    /// behind it were started; returns whether it closes.
+    pub fn close_if_last(&self) -> bool {
+        let mut state = self.lock();
+        state.closing |= !state.has_started();
+        state.closing
+    }
+
+    /// Records that the connection closes after the response that is about to be written; returns
+    /// the number of requests behind it that were started, and are cancelled.
+    pub fn close(&self) -> usize {
+        let mut state = self.lock();
+        state.closing = true;
+        state.started()
+    }
+
+    /// Whether requests behind the one that is served were started.
+    pub fn has_started(&self) -> bool {
+        self.lock().has_started()
+    }
+
+    /// Time since the first byte of the head; `None` while no head is arriving.
+    pub fn head_age(&self) -> Option<Duration> {
+        self.lock().head_started.map(|at| at.elapsed())
+    }
+
+    /// Whether nothing has been read from the connection.
+    pub fn is_empty(&self) -> bool {
+        self.lock().head.is_empty()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Whether bytes behind the request that is served must be kept from `hyper`.
+    fn holds(&self) -> bool {
+        self.serving && matches!(self.place, Place::Body(BodyScan::End))
+    }
+
+    fn has_started(&self) -> bool {
+        self.started() > 0
+    }
+
+    fn started(&self) -> usize {
+        let states = self.ahead.iter().map(|r| &r.state);
+        states
+            .filter(|s| matches!(s, AheadState::Started { .. }))
+            .count()
+    }
+
+    /// Follows bytes that `hyper` gets, up to the end of the request; returns their number.
+    fn follow(&mut self, bytes: &[u8]) -> usize {
+        let mut used = 0;
+        while used < bytes.len() && !self.holds() {
+            let rest = &bytes[used..];
+            used += match &mut self.place {
+                Place::Untracked => rest.len(),
+                Place::Body(BodyScan::End) => {
+                    self.place = Place::Head;
+                    self.head.clear();
+                    0
+                }
+                Place::Body(body) => body.advance(rest).unwrap_or_else(|| {
+                    self.place = Place::Untracked;
+                    0
+                }),
+                Place::Head => self.follow_head(rest),
+            };
+        }
+        used
+    }
+
+    fn follow_head(&mut self, bytes: &[u8]) -> usize {
+        let before = self.head.len();
+        let scan = if before == 0 {
+            self.head_started = Some(Instant::now());
+            scan_head(bytes, self.limits.max_fields)
+        } else {
+            self.head.extend_from_slice(bytes);
+            if has_empty_line(&self.head, before) {
+                scan_head(&self.head, self.limits.max_fields)
+            } else {
+                Scan::Partial
+            }
+        };
+        match scan {
+            Scan::Head(found) => {
+                if before == 0 {
+                    self.head.extend_from_slice(&bytes[..found.len]);
+                }
+                self.head.truncate(found.len);
+                self.begin_request(found);
+                found.len - before
+            }
+            Scan::Partial => {
+                if before == 0 {
+                    self.head.extend_from_slice(bytes);
+                }
+                if self.head.len() > self.limits.max_head {
+                    self.untrack();
+                }
+                bytes.len()
+            }
+            Scan::Invalid => {
+                self.untrack();
+                bytes.len()
+            }
+        }
+    }
+
+    fn begin_request(&mut self, head: ScannedHead) {
+        self.head_started = None;
+        self.place = Place::Body(BodyScan::new(head.framing));
+        self.serving = true;
+        self.front_class = None;
+        let read = self.ahead.pop_front();
+        self.scanned -= read.as_ref().map_or(0, |r| r.len);
+        if self.ahead.is_empty() {
+            self.scan_ended = false;
+        }
+        let arrived = read
+            .as_ref()
+            .map_or_else(|| self.starter.now(), |r| r.arrived);
+        let started = read.and_then(|r| match r.state {
+            AheadState::Started { call, .. } => Some(call),
+            AheadState::New | AheadState::Waiting => None,
+        });
+        self.front = Some(FrontRequest {
+            arrived,
+            started,
+            ambiguous: head.ambiguous,
+        });
+    }
+
+    /// Hands on all further bytes, as `hyper` rejects these.
+    fn untrack(&mut self) {
+        self.place = Place::Untracked;
+        self.head_started = None;
+    }
+
+    /// Moves bytes that are held to `hyper`.
+    fn hand_over(&mut self, out: &mut ReadBuf<'_>) {
+        let mut buf = std::mem::take(&mut self.buf);
+        let fits = buf.len().min(out.remaining());
+        let used = self.follow(&buf[..fits]);
+        out.put_slice(&buf[..used]);
+        buf.advance(used);
+        if !buf.is_empty() {
+            self.buf = buf;
+        }
+    }
+
+    /// Looks for heads behind the request that is served, and starts their requests.
+    fn scan_ahead(&mut self) {
+        while !self.scan_ended {
+            let rest = &self.buf[self.scanned..];
+            if rest.is_empty() {
+                break;
+            }
+            match scan_head(rest, self.limits.max_fields) {
+                Scan::Partial => break,
+                Scan::Invalid => self.scan_ended = true,
+                Scan::Head(found) => {
+                    self.scan_ended = found.framing != Framing::Empty;
+                    self.scanned += found.len;
+                    self.ahead.push_back(AheadRequest {
+                        len: found.len,
+                        arrived: self.starter.now(),
+                        state: AheadState::New,
+                    });
+                }
+            }
+        }
+        if !self.closing {
+            self.start_ahead();
+        }
+    }
+
+    fn start_ahead(&mut self) {
+        let mut running = self.started();
+        let (starter, max_fields) = (&self.starter, self.limits.max_fields);
+        let mut offset = 0;
+        for req in &mut self.ahead {
+            let head = &self.buf[offset..offset + req.len];
+            offset += req.len;
+            match &req.state {
+                AheadState::New => {}
+                AheadState::Started { last: false, .. } => continue,
+                AheadState::Started { last: true, .. } | AheadState::Waiting => return,
+            }
+            let class = self
+                .front_class
+                .get_or_insert_with(|| starter.classify(&self.head, max_fields));
+            if *class != Class::Start {
+                return;
+            }
+            match starter.start(head, max_fields, req.arrived, running) {
+                Start::Started { call, last } => {
+                    running += 1;
+                    req.state = AheadState::Started { call, last };
+                }
+                Start::NoRoom => return,
+                Start::Wait => {
+                    req.state = AheadState::Waiting;
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub struct CallerStream {
+    inner: TcpStream,
+    connection: CallerConnection,
+}
+
+impl CallerStream {
+    /// Wraps a connection.
+    pub fn new(inner: TcpStream, starter: Starter, limits: StreamLimits) -> Self {
+        let connection = CallerConnection(Arc::new(Mutex::new(State {
+            starter,
+            limits,
+            place: Place::Head,
+            head: Vec::new(),
+            head_started: None,
+            front: None,
+            front_class: None,
+            serving: false,
+            closing: false,
+            buf: BytesMut::new(),
+            ahead: VecDeque::new(),
+            scanned: 0,
+            scan_ended: false,
+            waker: None,
+        })));
+        Self { inner, connection }
+    }
+
+    /// State that is shared with the connection's service and timers.
+    pub fn connection(&self) -> CallerConnection {
+        self.connection.clone()
+    }
+
+    /// Reads while a request is served; ready at the end of the connection.
+    fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        loop {
+            let mut state = self.connection.lock();
+            state.scan_ahead();
+            if state.buf.len() >= state.limits.max_head {
+                state.waker = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+            let mut space = [const { MaybeUninit::uninit() }; READ_BYTES];
+            let mut read = ReadBuf::uninit(&mut space);
+            match Pin::new(&mut self.inner).poll_read(cx, &mut read) {
+                Poll::Pending => {
+                    state.waker = Some(cx.waker().clone());
+                    return Poll::Pending;
+                }
+                Poll::Ready(Ok(())) if !read.filled().is_empty() => {
+                    state.buf.extend_from_slice(read.filled());
+                }
+                ended @ Poll::Ready(_) => return ended,
+            }
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        let mut state = this.connection.lock();
+        if state.holds() {
+            drop(state);
+            return this.poll_ahead(cx);
+        }
+        if !state.buf.is_empty() {
+            state.hand_over(out);
+            return Poll::Ready(Ok(()));
+        }
+        let before = out.filled().len();
+        ready!(Pin::new(&mut this.inner).poll_read(cx, out))?;
+        let read = &out.filled()[before..];
+        let used = state.follow(read);
+        state.buf.extend_from_slice(&read[used..]);
+        out.set_filled(before + used);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -57,6 +57,7 @@
     probes: Family<ResultLabels, Counter>,
     forwarded: Family<ForwardLabels, Counter>,
     store_reads: Family<ResultLabels, Counter>,
+    started_ahead: Counter,
     /// Values that are set just before the metrics are written.
     pub gauges: Gauges,
 }
@@ -103,6 +104,7 @@
         let probes = Family::<ResultLabels, Counter>::default();
         let forwarded = Family::<ForwardLabels, Counter>::default();
         let store_reads = Family::<ResultLabels, Counter>::default();
+        let started_ahead = Counter::default();
         let gauges = Gauges::default();
         let r = &mut registry;
         r.register("requests", "Requests by outcome", requests.clone());
@@ -115,6 +117,11 @@
             "Reads of the platform's store",
             store_reads.clone(),
         );
+        r.register(
+            "started_ahead",
+            "Requests started before those in front on their connections were answered",
+            started_ahead.clone(),
+        );
         r.register(
             "in_flight",
             "Requests that haven't ended",
@@ -179,6 +186,7 @@
             probes,
             forwarded,
             store_reads,
+            started_ahead,
             gauges,
         }
     }
@@ -221,6 +229,11 @@
             .inc();
     }
 
+    /// Counts a request that was started before those in front of it were answered.
+    pub fn count_started_ahead(&self) {
+        self.started_ahead.inc();
+    }
+
     /// Encodes all metrics as text.
     ///
     /// # Errors
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -4,6 +4,7 @@
 mod server_notices;
 mod service_queue;
 mod shares;
+mod streamed;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher as _, Hasher as _, RandomState};
@@ -145,6 +146,8 @@
     pub reach_notice: Notify,
     in_flight: AtomicUsize,
     buffered: AtomicUsize,
+    /// When an answer of a route was last passed on while it arrived.
+    streamed: Mutex<HashMap<Name, Mono>>,
 }
 
 /// Counts one request as in flight until dropped.
@@ -186,6 +189,7 @@
             reach_notice: Notify::new(),
             in_flight: AtomicUsize::new(0),
             buffered: AtomicUsize::new(0),
+            streamed: Mutex::default(),
             settings,
         })
     }
--- a/cuminspreadd/src/settings.rs
+++ b/cuminspreadd/src/settings.rs
@@ -87,8 +87,8 @@
 
 /// Limits on callers and their connections.
 ///
-/// In store mode only `max_headers`, `max_connections` and `max_buffered` are used; other limits
-/// come from the active configuration.
+/// In store mode only `max_headers`, `max_connections`, `max_buffered` and `max_ahead` are used;
+/// other limits come from the active configuration.
 #[derive(Debug, Clone)]
 pub struct CallerSettings {
     /// Longest time for a request's head to arrive, and for a connection to stay idle between
@@ -102,8 +102,12 @@
     pub max_headers: usize,
     /// Greatest number of callers' connections open at once.
     pub max_connections: usize,
-    /// Limit on the bytes of all request bodies held at once.
+    /// Limit on the bytes of all request bodies held at once; in store mode, half of it may be taken
+    /// by answers that wait for the ones in front.
     pub max_buffered: usize,
+    /// Greatest number of requests of one connection that are started before the one in front is
+    /// answered; 0 for none. Used in store mode only.
+    pub max_ahead: usize,
 }
 
 impl Default for CallerSettings {
@@ -115,6 +119,7 @@
             max_headers: 100,
             max_connections: 2000,
             max_buffered: 8 << 20,
+            max_ahead: 8,
         }
     }
 }
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -8,7 +8,7 @@
 //! | `store` | `address` |
 //! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
 //! | `peers` | `key`, `previous_key`, `seeds`, `first_start`, `core_share` |
-//! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
+//! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered`, `max_ahead` |
 //! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `source` |
 //! | `traces` | `otlp`, `file` |
 //! | `log` | `level`, `file`, `record` |
@@ -209,6 +209,7 @@
             "max_headers" => c.max_headers = number(value, 16..=1000)?,
             "max_connections" => c.max_connections = number(value, 1..=1 << 20)?,
             "max_buffered" => c.max_buffered = number(value, 1 << 16..=1 << 30)?,
+            "max_ahead" => c.max_ahead = number(value, 0..=64)?,
             _ => return Err(unknown_key("callers")),
         }
         Ok(())
@@ -311,7 +312,8 @@
         "platform" => "url",
         "peers" => "key, previous_key, seeds, first_start, core_share",
         "callers" => {
-            "head_timeout_ms, body_timeout_ms, max_head, max_headers, max_connections, max_buffered"
+            "head_timeout_ms, body_timeout_ms, max_head, max_headers, max_connections, \
+             max_buffered, max_ahead"
         }
         "servers" => {
             "connect_timeout_ms, live_window_ms, idle_timeout_ms, probe_timeout_ms, \
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -1,6 +1,8 @@
 //! Tests of the daemon in store mode: complete daemons, with callers and stand-ins for the servers
 //! and the store on loopback sockets.
 
+#[path = "edge/ahead.rs"]
+mod ahead;
 #[path = "daemon/caller.rs"]
 #[allow(dead_code, reason = "shared with the tests of folder mode")]
 mod caller;
