tests: late copies of answers, and planned stops under load

Two faults that operators of similar systems reported were looked for; neither happens here.

A server that sends its answer once more when the connection carries the next request: the id of the answer is another, so the attempt is 'foreign_answer' and its connection is closed; the next caller gets 502, or the answer of a retry.

A stop while 24 callers keep connecting: no request that a server ran is cut off, and of the first requests of connections at most the last of each caller.

Tests: a_late_copy_of_an_answer_reaches_no_other_caller, nothing_that_was_passed_on_is_cut_off_under_load. Both pass without a change of the daemon.

--- a/cuminspreadd/tests/daemon/caller.rs
+++ b/cuminspreadd/tests/daemon/caller.rs
@@ -45,7 +45,10 @@
 
 impl Caller {
     pub async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.unwrap();
+        Self::new(TcpStream::connect(address).await.unwrap())
+    }
+
+    pub fn new(stream: TcpStream) -> Self {
         let buf = Vec::new();
         Self { stream, buf }
     }
--- a/cuminspreadd/tests/edge/responses.rs
+++ b/cuminspreadd/tests/edge/responses.rs
@@ -121,6 +121,30 @@
     }
 }
 
+/// A server sends its answer once more, late: on a connection that carries the next request by then.
+#[tokio::test]
+async fn a_late_copy_of_an_answer_reaches_no_other_caller() {
+    for idempotent in [true, false] {
+        let route = RouteRow {
+            idempotent,
+            ..RouteRow::default()
+        };
+        let fixture = Fixture::new(1, route).await;
+        let daemon = fixture.start_daemon().await;
+        fixture.servers[0].set_behaviour(Behaviour::LateCopy(20));
+        for (id, status) in [("a", 200), ("b", 502)] {
+            let req = ClientRequest {
+                id,
+                ..ClientRequest::default()
+            };
+            let res = send(&daemon, &req).await;
+            assert_eq!(res.status, status, "{id}, idempotent={idempotent}");
+            assert_eq!(res.text() == format!("answer to {id}"), status == 200);
+        }
+        daemon.kill();
+    }
+}
+
 #[tokio::test]
 async fn a_request_reaches_its_server_unchanged() {
     let fixture = Fixture::new(1, RouteRow::default()).await;
--- a/cuminspreadd/tests/edge/stop.rs
+++ b/cuminspreadd/tests/edge/stop.rs
@@ -1,10 +1,12 @@
 //! Graceful stops: no accepted request is lost, and the process ends within its grace period.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use cuminspread_platform::standin::client::ClientRequest;
-use cuminspread_platform::standin::server::Behaviour;
+use cuminspread_platform::standin::server::{Behaviour, StandInServer};
 use cuminspread_platform::standin::store::RouteRow;
+use tokio::net::TcpStream;
 
 use crate::caller::Caller;
 use crate::fixture::{Fixture, is_ready, wait_for};
@@ -120,3 +122,69 @@
     assert!(stop.await.unwrap());
     assert_eq!(fixture.runs(), 0);
 }
+
+/// Callers keep connecting until the daemon no longer listens. What it cuts off without an answer, as
+/// the connection crosses its close, no server has run.
+#[tokio::test]
+async fn nothing_that_was_passed_on_is_cut_off_under_load() {
+    const CALLERS: usize = 24;
+    let fixture = Fixture::new(4, RouteRow::default()).await;
+    let daemon = fixture.start_daemon().await;
+    for server in &fixture.servers {
+        server.set_behaviour(Behaviour::Slow(20));
+    }
+    let front = daemon.front();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| tokio::spawn(send_until_refused(front, caller)))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(daemon.stop().await, "every request ended");
+    let (mut answered, mut cut) = (0, Vec::new());
+    for caller in callers {
+        let (count, ids) = caller.await.unwrap();
+        answered += count;
+        cut.extend(ids);
+    }
+    assert!(answered > 10 * CALLERS, "{answered}");
+    let runs: Vec<_> = fixture.servers.iter().flat_map(StandInServer::executed).collect();
+    let lost: Vec<_> = cut
+        .iter()
+        .filter(|id| runs.iter().any(|r| r.id == **id))
+        .collect();
+    assert!(lost.is_empty(), "{lost:?} of {cut:?}");
+    // Requests behind a response that closes the connection count as not read.
+    let first = cut.iter().filter(|id| id.ends_with("-0")).count();
+    assert!(first <= CALLERS, "{first} first requests of a connection");
+}
+
+/// Sends requests on new connections until none is accepted; returns the number of answers, and the
+/// ids that got none.
+async fn send_until_refused(front: SocketAddr, caller: usize) -> (usize, Vec<String>) {
+    let (mut answered, mut cut) = (0, Vec::new());
+    for round in 0.. {
+        let Ok(stream) = TcpStream::connect(front).await else {
+            break;
+        };
+        let mut connection = Caller::new(stream);
+        // Every other caller sends two requests at once.
+        let ids: Vec<_> = (0..=caller % 2)
+            .map(|i| format!("{caller}-{round}-{i}"))
+            .collect();
+        for id in &ids {
+            let req = ClientRequest {
+                id,
+                ..ClientRequest::default()
+            };
+            connection.try_write(req.text().as_bytes()).await;
+        }
+        for id in ids {
+            let res = connection.read_response(false).await;
+            if res.complete {
+                answered += 1;
+            } else {
+                cut.push(id);
+            }
+        }
+    }
+    (answered, cut)
+}
