framing: every request of a connection is checked for a length beside an encoding

Cause: in folder mode too, the bytes kept for this check were those read since the last response. Of two requests that arrive in one read, only the first was checked; the second could have both fields and got 200.

Ruled out: looking for the fields anywhere in the bytes that were kept, since a body may contain such lines.

Change: 'RequestFollower' finds the ends of heads and bodies, in both modes; folder mode keeps one flag a request instead of its first 16 KiB. Behind bytes that hyper rejects, a request with an encoding counts as ambiguous. A fuzz target checks that requests are found the same however their bytes are split.

--- a/cuminspread/src/transport/request_scan.rs
+++ b/cuminspread/src/transport/request_scan.rs
@@ -136,6 +136,116 @@
     Some((framing, encoding.is_some() && length.is_some()))
 }
 
+/// Follows the requests of a connection.
+#[derive(Debug)]
+pub struct RequestFollower {
+    max_head: usize,
+    max_fields: usize,
+    place: Place,
+    /// Head that is arriving, or the last one.
+    head: Vec<u8>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    Head,
+    Body(BodyScan),
+    /// Behind something that `hyper` rejects.
+    Untracked,
+}
+
+/// What was found in some bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Followed {
+    /// Bytes that were followed.
+    pub len: usize,
+    /// The head that ends there, if one does.
+    pub head: Option<ScannedHead>,
+}
+
+impl RequestFollower {
+    /// Starts at the first request; the limits are those of `hyper`.
+    pub fn new(max_head: usize, max_fields: usize) -> Self {
+        Self {
+            max_head,
+            max_fields,
+            place: Place::Head,
+            head: Vec::new(),
+        }
+    }
+
+    /// Head that is arriving, or the last one.
+    pub fn head(&self) -> &[u8] {
+        &self.head
+    }
+
+    /// Whether a part of a head has arrived.
+    pub fn is_in_head(&self) -> bool {
+        self.place == Place::Head && !self.head.is_empty()
+    }
+
+    /// Whether the last request has ended and no byte of the next has come.
+    pub fn is_at_end(&self) -> bool {
+        self.place == Place::Body(BodyScan::End)
+    }
+
+    /// Follows bytes up to the end of the next head or body, or all of them.
+    pub fn follow(&mut self, bytes: &[u8]) -> Followed {
+        if self.is_at_end() && !bytes.is_empty() {
+            self.place = Place::Head;
+            self.head.clear();
+        }
+        let (len, head) = match &mut self.place {
+            Place::Head => self.follow_head(bytes),
+            Place::Body(body) => match body.advance(bytes) {
+                Some(len) => (len, None),
+                None => self.untrack(bytes),
+            },
+            Place::Untracked => (bytes.len(), None),
+        };
+        Followed { len, head }
+    }
+
+    fn follow_head(&mut self, bytes: &[u8]) -> (usize, Option<ScannedHead>) {
+        let before = self.head.len();
+        let scan = if before == 0 {
+            scan_head(bytes, self.max_fields)
+        } else {
+            self.head.extend_from_slice(bytes);
+            if has_empty_line(&self.head, before) {
+                scan_head(&self.head, self.max_fields)
+            } else {
+                Scan::Partial
+            }
+        };
+        match scan {
+            Scan::Head(found) => {
+                if before == 0 {
+                    self.head.extend_from_slice(&bytes[..found.len]);
+                }
+                self.head.truncate(found.len);
+                self.place = Place::Body(BodyScan::new(found.framing));
+                (found.len - before, Some(found))
+            }
+            Scan::Partial => {
+                if before == 0 {
+                    self.head.extend_from_slice(bytes);
+                }
+                if self.head.len() > self.max_head {
+                    return self.untrack(bytes);
+                }
+                (bytes.len(), None)
+            }
+            Scan::Invalid => self.untrack(bytes),
+        }
+    }
+
+    fn untrack(&mut self, bytes: &[u8]) -> (usize, Option<ScannedHead>) {
+        self.place = Place::Untracked;
+        (bytes.len(), None)
+    }
+}
+
 /// Finds the end of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyScan {
--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -21,7 +21,7 @@
 use cuminspread::coordination::read_ahead::Class;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::request_scan::{
-    BodyScan, Framing, Scan, ScannedHead, has_empty_line, scan_head,
+    Framing, RequestFollower, Scan, ScannedHead, scan_head,
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -34,21 +34,12 @@
 /// Limits on what is read of a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamLimits {
-    /// Largest head, in bytes; at least as large as that of `hyper`.
+    /// Largest head, in bytes; the same as that of `hyper`.
     pub max_head: usize,
     /// Greatest number of header fields; the same as that of `hyper`.
     pub max_fields: usize,
 }
 
-/// Part of a request that `hyper` reads next.
-#[derive(Debug)]
-enum Place {
-    Head,
-    Body(BodyScan),
-    /// No request, or one that `hyper` rejects: all bytes are handed on.
-    Untracked,
-}
-
 /// A request behind the one that is served.
 #[derive(Debug)]
 struct AheadRequest {
@@ -85,9 +76,8 @@
 struct State {
     starter: Starter,
     limits: StreamLimits,
-    place: Place,
-    /// Head that is being read, or the last one.
-    head: Vec<u8>,
+    /// Follows the bytes that `hyper` gets.
+    requests: RequestFollower,
     /// When the first byte of the head arrived; `None` while no head is arriving.
     head_started: Option<Instant>,
     front: Option<FrontRequest>,
@@ -159,7 +149,7 @@
 
     /// Whether nothing has been read from the connection.
     pub fn is_empty(&self) -> bool {
-        self.lock().head.is_empty()
+        self.lock().requests.head().is_empty()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -170,7 +160,7 @@
 impl State {
     /// Whether bytes behind the request that is served must be kept from `hyper`.
     fn holds(&self) -> bool {
-        self.serving && matches!(self.place, Place::Body(BodyScan::End))
+        self.serving && self.requests.is_at_end()
     }
 
     fn has_started(&self) -> bool {
@@ -188,65 +178,21 @@
     fn follow(&mut self, bytes: &[u8]) -> usize {
         let mut used = 0;
         while used < bytes.len() && !self.holds() {
-            let rest = &bytes[used..];
-            used += match &mut self.place {
-                Place::Untracked => rest.len(),
-                Place::Body(BodyScan::End) => {
-                    self.place = Place::Head;
-                    self.head.clear();
-                    0
-                }
-                Place::Body(body) => body.advance(rest).unwrap_or_else(|| {
-                    self.place = Place::Untracked;
-                    0
-                }),
-                Place::Head => self.follow_head(rest),
-            };
+            let followed = self.requests.follow(&bytes[used..]);
+            used += followed.len;
+            if let Some(head) = followed.head {
+                self.begin_request(head);
+            }
         }
-        used
-    }
-
-    fn follow_head(&mut self, bytes: &[u8]) -> usize {
-        let before = self.head.len();
-        let scan = if before == 0 {
-            self.head_started = Some(Instant::now());
-            scan_head(bytes, self.limits.max_fields)
+        self.head_started = if self.requests.is_in_head() {
+            self.head_started.or_else(|| Some(Instant::now()))
         } else {
-            self.head.extend_from_slice(bytes);
-            if has_empty_line(&self.head, before) {
-                scan_head(&self.head, self.limits.max_fields)
-            } else {
-                Scan::Partial
-            }
+            None
         };
-        match scan {
-            Scan::Head(found) => {
-                if before == 0 {
-                    self.head.extend_from_slice(&bytes[..found.len]);
-                }
-                self.head.truncate(found.len);
-                self.begin_request(found);
-                found.len - before
-            }
-            Scan::Partial => {
-                if before == 0 {
-                    self.head.extend_from_slice(bytes);
-                }
-                if self.head.len() > self.limits.max_head {
-                    self.untrack();
-                }
-                bytes.len()
-            }
-            Scan::Invalid => {
-                self.untrack();
-                bytes.len()
-            }
-        }
+        used
     }
 
     fn begin_request(&mut self, head: ScannedHead) {
-        self.head_started = None;
-        self.place = Place::Body(BodyScan::new(head.framing));
         self.serving = true;
         self.front_class = None;
         let read = self.ahead.pop_front();
@@ -268,12 +214,6 @@
         });
     }
 
-    /// Hands on all further bytes, as `hyper` rejects these.
-    fn untrack(&mut self) {
-        self.place = Place::Untracked;
-        self.head_started = None;
-    }
-
     /// Moves bytes that are held to `hyper`.
     fn hand_over(&mut self, out: &mut ReadBuf<'_>) {
         let mut buf = std::mem::take(&mut self.buf);
@@ -326,7 +266,7 @@
             }
             let class = self
                 .front_class
-                .get_or_insert_with(|| starter.classify(&self.head, max_fields));
+                .get_or_insert_with(|| starter.classify(self.requests.head(), max_fields));
             if *class != Class::Start {
                 return;
             }
@@ -358,8 +298,7 @@
         let connection = CallerConnection(Arc::new(Mutex::new(State {
             starter,
             limits,
-            place: Place::Head,
-            head: Vec::new(),
+            requests: RequestFollower::new(limits.max_head, limits.max_fields),
             head_started: None,
             front: None,
             front_class: None,
--- a/cuminspreadd/src/framing.rs
+++ b/cuminspreadd/src/framing.rs
@@ -1,108 +1,58 @@
-//! Inspects the bytes of callers' connections, to find requests with ambiguous framing and heads
-//! that arrive too slowly.
+//! Inspects the bytes of callers' connections in folder mode, to find requests with ambiguous framing.
 //!
 //! For a request with both `Content-Length` and `Transfer-Encoding`, `hyper` drops the length, as
 //! RFC 9112, section 6.1 allows, and the service can't see that it was there. Most such requests
-//! are attempts at request smuggling. So the first bytes of each request are kept here, and checked
-//! if the request has a `Transfer-Encoding`.
+//! are attempts at request smuggling. So the heads are scanned here as well.
 
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
 
+use cuminspread::transport::request_scan::RequestFollower;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Bytes kept of a request; fields beyond them aren't checked.
-const MAX_PREFIX_BYTES: usize = 16 << 10;
-
-#[derive(Debug, Default)]
-struct PrefixState {
-    bytes: Vec<u8>,
-    /// Whether a response was written since the bytes were read.
-    responded: bool,
-    /// When the first byte of the head arrived; `None` while no head is arriving.
-    head_started: Option<Instant>,
-}
-
-/// First bytes read since the last response on a connection; clones share them.
+/// Which of the requests read from a connection are ambiguous; clones share it.
 #[derive(Debug, Clone, Default)]
-pub struct RequestPrefix(Arc<Mutex<PrefixState>>);
-
-impl RequestPrefix {
-    /// Whether the head has both `Content-Length` and `Transfer-Encoding`.
-    pub fn is_ambiguous(&self) -> bool {
-        has_length_and_encoding(&self.lock().bytes)
+pub struct Ambiguities(Arc<Mutex<VecDeque<bool>>>);
+
+impl Ambiguities {
+    /// Whether the head of the next request has both `Content-Length` and `Transfer-Encoding`, or may
+    /// have. Call it once for each request, in their order.
+    pub fn take(&self) -> bool {
+        let mut flags = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        flags.pop_front().unwrap_or(true)
     }
 
-    /// Records that the head was read to its end.
-    pub fn record_head_end(&self) {
-        self.lock().head_started = None;
-    }
-
-    /// Time since the first byte of the head; `None` while no head is arriving.
-    pub fn head_age(&self) -> Option<Duration> {
-        self.lock().head_started.map(|at| at.elapsed())
-    }
-
-    /// Whether nothing has been read from the connection.
-    pub fn is_empty(&self) -> bool {
-        self.lock().bytes.is_empty()
-    }
-
-    fn append(&self, bytes: &[u8]) {
-        let mut state = self.lock();
-        if std::mem::take(&mut state.responded) {
-            state.bytes.clear();
-        }
-        if state.bytes.is_empty() {
-            state.head_started = Some(Instant::now());
-        }
-        let free = MAX_PREFIX_BYTES.saturating_sub(state.bytes.len());
-        state
-            .bytes
-            .extend_from_slice(&bytes[..bytes.len().min(free)]);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, PrefixState> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-fn has_length_and_encoding(bytes: &[u8]) -> bool {
-    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n");
-    let head = &bytes[..end.unwrap_or(bytes.len())];
-    let names = head.split(|b| *b == b'\n');
-    let names = names.filter_map(|line| line.split(|b| *b == b':').next());
-    let (mut length, mut encoding) = (false, false);
-    for name in names {
-        length |= name.eq_ignore_ascii_case(b"content-length");
-        encoding |= name.eq_ignore_ascii_case(b"transfer-encoding");
+    fn push(&self, ambiguous: bool) {
+        let mut flags = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        flags.push_back(ambiguous);
     }
-    length && encoding
 }
 
-/// A caller's connection that keeps the first bytes of each request.
+/// A caller's connection whose requests are followed.
 #[derive(Debug)]
 pub struct InspectedStream {
     inner: TcpStream,
-    prefix: RequestPrefix,
+    requests: RequestFollower,
+    ambiguities: Ambiguities,
 }
 
 impl InspectedStream {
-    /// Wraps a connection.
-    pub fn new(inner: TcpStream) -> Self {
+    /// Wraps a connection; the limits are those of `hyper`.
+    pub fn new(inner: TcpStream, max_head: usize, max_fields: usize) -> Self {
         Self {
             inner,
-            prefix: RequestPrefix::default(),
+            requests: RequestFollower::new(max_head, max_fields),
+            ambiguities: Ambiguities::default(),
         }
     }
 
-    /// First bytes of the current request.
-    pub fn prefix(&self) -> RequestPrefix {
-        self.prefix.clone()
+    /// Which of the requests are ambiguous.
+    pub fn ambiguities(&self) -> Ambiguities {
+        self.ambiguities.clone()
     }
 }
 
@@ -112,11 +62,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
         let before = buf.filled().len();
-        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
-        let read = &buf.filled()[before..];
-        if !read.is_empty() {
-            self.prefix.append(read);
+        let polled = Pin::new(&mut this.inner).poll_read(cx, buf);
+        let mut read = &buf.filled()[before..];
+        while !read.is_empty() {
+            let followed = this.requests.follow(read);
+            if let Some(head) = followed.head {
+                this.ambiguities.push(head.ambiguous);
+            }
+            read = &read[followed.len..];
         }
         polled
     }
@@ -128,7 +83,6 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.prefix.lock().responded = true;
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
@@ -137,7 +91,6 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.prefix.lock().responded = true;
         Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
     }
 
--- a/cuminspreadd/src/front.rs
+++ b/cuminspreadd/src/front.rs
@@ -37,7 +37,7 @@
 use crate::call::{self, InboundCall, Reply};
 use crate::engine::Engine;
 use crate::error_response::{ErrorResponse, Step};
-use crate::framing::{InspectedStream, RequestPrefix};
+use crate::framing::{Ambiguities, InspectedStream};
 use crate::headers;
 use crate::request::{
     AcceptedRequest, BodyLimits, RETRY_AFTER, RequestHead, check_head, read_body, request_digest,
@@ -105,10 +105,10 @@
     if callers.max_headers != DEFAULT_MAX_HEADERS {
         builder.max_headers(callers.max_headers);
     }
+    let stream = InspectedStream::new(stream, callers.max_head, callers.max_headers);
+    let ambiguities = stream.ambiguities();
     let service = TowerToHyperService::new(warp::service(filter(front)));
-    let stream = InspectedStream::new(stream);
-    let prefix = stream.prefix();
-    let service = service_fn(move |req| service.call(stash_head(req, &prefix)));
+    let service = service_fn(move |req| service.call(stash_head(req, &ambiguities)));
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     let ended = tokio::select! {
@@ -145,13 +145,14 @@
     }
 }
 
-fn stash_head<B>(mut req: Request<B>, prefix: &RequestPrefix) -> Request<B> {
+fn stash_head<B>(mut req: Request<B>, ambiguities: &Ambiguities) -> Request<B> {
+    let ambiguous = ambiguities.take();
     let encoded = req.headers().contains_key(TRANSFER_ENCODING);
     let head = RequestHead {
         method: std::mem::take(req.method_mut()),
         uri: std::mem::take(req.uri_mut()),
         headers: std::mem::take(req.headers_mut()),
-        ambiguous: encoded && prefix.is_ambiguous(),
+        ambiguous: encoded && ambiguous,
     };
     let head = StashedHead(Arc::new(Mutex::new(head)));
     req.extensions_mut().insert(head);
--- a/cuminspreadd/tests/daemon/path.rs
+++ b/cuminspreadd/tests/daemon/path.rs
@@ -176,6 +176,22 @@
     }
 }
 
+/// Both arrive in one read; the first is not ambiguous.
+#[tokio::test]
+async fn an_ambiguous_request_behind_another_is_refused() {
+    let stub = StubServer::start(Behaviour::Echo).await;
+    let daemon = fixture::daemon_for(&stub).await;
+    let fields = "content-length: 60\r\ntransfer-encoding: chunked\r\n";
+    let ambiguous = request("POST", "/orders", fields, "") + "0\r\n\r\n";
+    let mut caller = Caller::connect(daemon.front()).await;
+    let texts = request("GET", "/jobs/7", "", "") + &ambiguous;
+    caller.write(texts.as_bytes()).await;
+    assert_eq!(caller.read_response(false).await.status, 200);
+    assert_eq!(caller.read_response(false).await.status, 400);
+    assert_eq!(stub.started(), 1);
+    daemon.kill();
+}
+
 #[tokio::test]
 async fn fields_that_reach_the_server() {
     let stub = StubServer::start(Behaviour::Echo).await;
--- a/cuminspreadd/tests/edge/stop.rs
+++ b/cuminspreadd/tests/edge/stop.rs
@@ -146,7 +146,11 @@
         cut.extend(ids);
     }
     assert!(answered > 10 * CALLERS, "{answered}");
-    let runs: Vec<_> = fixture.servers.iter().flat_map(StandInServer::executed).collect();
+    let runs: Vec<_> = fixture
+        .servers
+        .iter()
+        .flat_map(StandInServer::executed)
+        .collect();
     let lost: Vec<_> = cut
         .iter()
         .filter(|id| runs.iter().any(|r| r.id == **id))
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -20,6 +20,9 @@
 use cuminspread::state::folder::{FolderFile, parse_folder};
 use cuminspread::state::routing::{RouteTable, Routing, RoutingDelta};
 use cuminspread::state::time::Mono;
+use cuminspread::transport::request_scan::{
+    RequestFollower, Scan, ScannedHead, read_head, scan_head,
+};
 use cuminspread_platform::headers::{read_health, read_response};
 use cuminspread_platform::{config, registry};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
@@ -32,6 +35,10 @@
 /// Bytes of the length in front of each value in a recording.
 const FRAME_LENGTH_BYTES: u64 = 4;
 
+/// Limits on the heads of callers.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+const MAX_FIELDS: usize = 100;
+
 /// A parser under test.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
@@ -53,11 +60,13 @@
     Routing,
     /// Head of a server's response: a line with the status code, then header lines.
     Response,
+    /// Bytes of a caller's connection.
+    Requests,
 }
 
 impl Target {
     /// All targets.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Folder,
         Self::Envelope,
         Self::Header,
@@ -67,6 +76,7 @@
         Self::ServerEntry,
         Self::Routing,
         Self::Response,
+        Self::Requests,
     ];
 
     /// Name of the target's corpus folder, and of its binary after `fuzz-`.
@@ -81,6 +91,7 @@
             Self::ServerEntry => "entry",
             Self::Routing => "routing",
             Self::Response => "answer",
+            Self::Requests => "requests",
         }
     }
 
@@ -100,6 +111,7 @@
             Self::ServerEntry => server_entry(data),
             Self::Routing => routing(data),
             Self::Response => response(data),
+            Self::Requests => requests(data),
         }
     }
 }
@@ -371,6 +383,36 @@
     }
 }
 
+/// The same requests are found however the bytes are split, and each of them is a head by itself.
+fn requests(data: &[u8]) {
+    let whole = follow(&[data]);
+    for step in [1, 7] {
+        let parts: Vec<_> = data.chunks(step).collect();
+        assert_eq!(follow(&parts), whole, "in parts of {step}");
+    }
+}
+
+fn follow(parts: &[&[u8]]) -> Vec<ScannedHead> {
+    let mut follower = RequestFollower::new(MAX_HEAD_BYTES, MAX_FIELDS);
+    let mut found = Vec::new();
+    for mut part in parts.iter().copied() {
+        while !part.is_empty() {
+            let next = follower.follow(part);
+            assert!(next.len > 0, "nothing is followed");
+            part = &part[next.len..];
+            if let Some(head) = next.head {
+                assert_eq!(scan_head(follower.head(), MAX_FIELDS), Scan::Head(head));
+                assert_eq!(follower.head().len(), head.len);
+                let fields =
+                    read_head(follower.head(), MAX_FIELDS).map_or(0, |r| r.headers().len());
+                assert!(fields <= MAX_FIELDS);
+                found.push(head);
+            }
+        }
+    }
+    found
+}
+
 fn check_score(server: &ServerState) {
     let cx = PlacementContext {
         now: NOW,
