cold servers: a few daemons send to a cold server, each in its turns

Cause: a cold server bears a few requests a second from all daemons together ('cold_interval' of its service).

Ruled out: equal parts for all daemons (one request in a minute each, and all may use theirs in the same second); holders that change with the clock (daemons' clocks differ); a message of its own (a daemon checks before each request, so it learns as early); use of the overshoot that users allow (it covers differing views and requests under way).

Change: 'coordination::cold_server' keeps one incarnation's warm-up and this daemon's turns; 'HoldOff' makes them one decision with pauses and limits, which placement, retries, hedges, probes for placement and requests from peers follow. The holders are those of 'server_limit'; a turn that passes isn't made up for. 'Mesh::is_settled' tells whether a daemon knows most of the fleet; without that it has no turn. The time left comes from the registry and, newer, from answers to health checks; for services with a 'cold_interval' a load report in the answer to a request no longer replaces the check before the next one. Checks of lost services may go to cold servers. A service whose servers are all cold refuses at once what can't wait for a turn ('reason=cold'). Log lines, a gauge, 'cold_ms' in '/status', and 'cumin' show it all. Services without a 'cold_interval' are served as before.

An older daemon beside this one knows no cold servers and doesn't keep their rate. A configuration that it passes on has no 'cold_interval'; nor has one between daemons of this version until the messages carry it, so the tests with whole daemons run one daemon.

Tests: cold_server::* in virtual time at 1, 16, 138 and 312 daemons.

--- a/cumin/src/fleet.rs
+++ b/cumin/src/fleet.rs
@@ -74,7 +74,7 @@
             status.lost_services.join(", ")
         );
     }
-    let mut services: BTreeMap<&str, [usize; 5]> = BTreeMap::new();
+    let mut services: BTreeMap<&str, [usize; 6]> = BTreeMap::new();
     for server in &status.servers {
         let counts = services.entry(&server.service).or_default();
         counts[0] += 1;
@@ -82,11 +82,12 @@
         counts[2] += usize::from(server.consecutive_failures > 0);
         counts[3] += usize::from(server.limit_per_s.is_some());
         counts[4] += usize::from(server.paused_ms.is_some());
+        counts[5] += usize::from(server.cold_ms.is_some());
     }
-    for (service, [all, leaving, failing, limited, paused]) in services {
+    for (service, [all, leaving, failing, limited, paused, cold]) in services {
         println!(
             "  {service}: {all} servers, {leaving} leaving, {failing} failing, {limited} limited, \
-             {paused} paused"
+             {paused} paused, {cold} cold"
         );
     }
 }
--- a/cumin/src/request.rs
+++ b/cumin/src/request.rs
@@ -187,6 +187,10 @@
             "It was refused, and has not run: the servers of {service} name limits, and this \
              daemon's part was used"
         ),
+        ("refused", "cold") => format!(
+            "It was refused, and has not run: the servers of {service} were cold, and it wasn't this \
+             daemon's turn to send to one in time"
+        ),
         ("refused", "crashing") => {
             "It was refused, and has not run: requests like it crashed servers".to_owned()
         }
--- a/cumin/src/show.rs
+++ b/cumin/src/show.rs
@@ -216,9 +216,10 @@
     let pause = server
         .paused_ms
         .map(|left| format!(", paused for {left} ms"));
+    let cold = server.cold_ms.map(|left| format!(", cold for {left} ms"));
     let mark = if server.draining { " leaving" } else { "" };
     println!(
-        "  {} {} {} in {}, {} in flight, connections {}, report {report}, lag {:.2}, strikes {}{}{}{mark}",
+        "  {} {} {} in {}, {} in flight, connections {}, report {report}, lag {:.2}, strikes {}{}{}{}{mark}",
         server.id,
         server.service,
         server.address,
@@ -228,7 +229,8 @@
         server.latency_ratio,
         server.consecutive_failures,
         limit.unwrap_or_default(),
-        pause.unwrap_or_default()
+        pause.unwrap_or_default(),
+        cold.unwrap_or_default()
     );
 }
 
--- a/cumin/tests/fleet.rs
+++ b/cumin/tests/fleet.rs
@@ -6,7 +6,7 @@
 use cuminspread::state::Name;
 use cuminspread_platform::standin::client::ClientRequest;
 use cuminspread_platform::standin::server::{Behaviour, StandInServer};
-use cuminspread_platform::standin::store::{RouteRow, StandInStore, config_text};
+use cuminspread_platform::standin::store::{RouteRow, StandInStore, config_text, with_cold_rate};
 use cuminspreadd::edge::run::EdgeDaemon;
 use cuminspreadd::edge::settings::EdgeSettings;
 use cuminspreadd::settings::Settings;
@@ -131,7 +131,9 @@
     let store = StandInStore::start().await;
     let server = StandInServer::start("i-1").await;
     store.put_server("i-1", "status", server.address(), &serde_json::json!({}));
-    store.put_config(config_text(3, &[RouteRow::default()], 15.0));
+    let config = config_text(3, &[RouteRow::default()], 15.0);
+    store.put_config(with_cold_rate(&config, 2.5));
+    server.set_cold_for(Duration::from_secs(60));
     server.set_behaviour(Behaviour::Shed);
     server.set_limit("3.5");
     server.set_pause("60");
@@ -161,7 +163,7 @@
         .output()
         .expect("cumin runs");
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    for expected in ["limit 3.5/s", "paused for "] {
+    for expected in ["limit 3.5/s", "paused for ", "cold for "] {
         assert!(text.contains(expected), "{expected}: {text}");
     }
     daemon.kill();
--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -6,13 +6,14 @@
 //!
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
-//! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`],
+//! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`cold_server`], [`reachability`],
 //! [`forwarding`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
 pub mod catalog;
 pub mod choice;
+pub mod cold_server;
 pub mod crash;
 pub mod decaying_rate;
 pub mod dispatch;
--- a/cuminspread/src/coordination/hold_off.rs
+++ b/cuminspread/src/coordination/hold_off.rs
@@ -1,17 +1,19 @@
 //! Whether a daemon may send to a server that has asked for fewer requests, and if not, when.
 //!
-//! Servers ask in two ways. A limit is a rate for all daemons together, see [`server_limit`]. A
-//! pause is for the daemon whose request was turned away: the server wants nothing of it for a
-//! time. Both belong to one incarnation of a server, and placement, retries, hedges and probes all
+//! Servers ask in three ways. A limit is a rate for all daemons together, see [`server_limit`], and
+//! so is what a cold server bears, see [`cold_server`]. A pause is for the daemon whose request was
+//! turned away: the server wants nothing of it for a time. All belong to one incarnation of a server, and placement, retries, hedges and probes all
 //! follow this one decision.
 //!
 //! Load pattern: servers that can't keep up turn requests away and name a pause; all daemons that
 //! asked them would come back at the same moment.
 //!
+//! [`cold_server`]: super::cold_server
 //! [`server_limit`]: super::server_limit
 
 use std::time::Duration;
 
+use super::cold_server::ColdServer;
 use super::server_limit::ServerLimit;
 use crate::state::time::Mono;
 
@@ -29,6 +31,8 @@
 pub struct HoldOff {
     /// Limit that the server names; `None` if it names none.
     pub limit: Option<ServerLimit>,
+    /// Whether the server is cold.
+    pub cold: ColdServer,
     paused_until: Mono,
 }
 
@@ -39,6 +43,8 @@
     Pause,
     /// The limit of the server leaves no request to this daemon now.
     Limit,
+    /// The server is cold, and it isn't this daemon's turn.
+    Cold,
 }
 
 /// Whether a request or a probe may be sent to a server.
@@ -76,21 +82,34 @@
     pub fn is_active(&self, now: Mono) -> bool {
         let limit = self.limit.as_ref();
         let is_recent = limit.is_some_and(|l| now.since(l.confirmed()) < LIMIT_MEMORY);
-        is_recent || self.pause_left(now).is_some()
+        is_recent || self.pause_left(now).is_some() || now < self.cold.until()
     }
 
     /// Whether the daemon may send to the server now.
     pub fn permit(&self, now: Mono) -> SendPermit {
         let limited = self.limit.as_ref().map(ServerLimit::next_send);
-        match limited {
-            _ if now < self.paused_until => {
-                let after_pause = limited.map_or(Some(self.paused_until), |at| {
-                    at.map(|at| at.max(self.paused_until))
-                });
-                SendPermit::From(after_pause, HoldOffCause::Pause)
+        let pause = (Some(self.paused_until), HoldOffCause::Pause);
+        let limit = (limited.unwrap_or(Some(now)), HoldOffCause::Limit);
+        let cold = (self.cold.next_send(now), HoldOffCause::Cold);
+        let all = [pause, limit, cold];
+        let mut holding = all
+            .into_iter()
+            .filter(|(at, _)| at.is_none_or(|at| now < at));
+        match holding.next() {
+            None => SendPermit::Now,
+            Some((_, cause)) => {
+                let times: Option<Vec<Mono>> = all.into_iter().map(|(at, _)| at).collect();
+                let latest = times.and_then(|times| times.into_iter().max());
+                SendPermit::From(latest, cause)
             }
-            Some(at) if at.is_none_or(|at| now < at) => SendPermit::From(at, HoldOffCause::Limit),
-            _ => SendPermit::Now,
         }
     }
+
+    /// Records that the daemon sends a request to the server.
+    pub fn record_sent(&mut self, now: Mono) {
+        if let Some(limit) = &mut self.limit {
+            limit.record_sent(now);
+        }
+        self.cold.record_sent(now);
+    }
 }
--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -31,6 +31,14 @@
 /// One in this many hellos goes to a seed, so that separated groups of daemons find each other.
 const SEED_HELLO_EVERY: u32 = 16;
 
+/// Growth of the fleet, as a fraction, from which on the daemon counts as still learning of it.
+const NOTABLE_GROWTH: f32 = 0.25;
+/// Time without notable growth after which a daemon knows the fleet.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Answers to hellos that have to come in that time, each with a random sample of the fleet; many
+/// may be lost.
+const SETTLE_ANSWERS: u32 = 3;
+
 /// Settings of the mesh.
 #[derive(Debug, Clone)]
 pub struct MeshSettings {
@@ -81,6 +89,10 @@
     next_hello: Mono,
     /// Largest recent number of daemons, without those that have left, and when it was reached.
     largest_size: (usize, Mono),
+    /// Number of daemons after the last notable growth, or a smaller one since.
+    settled_size: usize,
+    /// Time of that growth, and the answers to hellos since.
+    grown: (Mono, u32),
     /// Peers have come, changed or gone since [`Mesh::take_changed`].
     changed: bool,
 }
@@ -96,6 +108,8 @@
             rng: Pcg32::new(seed, 7),
             next_hello: Mono::default(),
             largest_size: (1, Mono::default()),
+            settled_size: 1,
+            grown: (Mono::default(), 0),
             changed: false,
         };
         this.set_seeds(seeds);
@@ -148,6 +162,23 @@
         size as f32 / largest as f32
     }
 
+    /// Whether this daemon knows most of the fleet; to be called at each tick.
+    ///
+    /// A daemon that has seeds and hears from nobody may be cut off from a fleet of any size.
+    pub fn is_settled(&mut self, now: Mono) -> bool {
+        let size = self.size();
+        if size as f32 > self.settled_size as f32 * (1.0 + NOTABLE_GROWTH) {
+            self.settled_size = size;
+            self.grown = (now, 0);
+        }
+        self.settled_size = self.settled_size.min(size);
+        if self.peers.is_empty() {
+            return self.seeds.is_empty();
+        }
+        let (grown, answers) = self.grown;
+        now.since(grown) >= SETTLE_TIME && answers >= SETTLE_ANSWERS
+    }
+
     /// Records a message from a daemon; returns whether the daemon is new.
     pub fn record_heard(&mut self, now: Mono, daemon: &Daemon) -> bool {
         self.record(daemon, now)
@@ -156,6 +187,7 @@
     /// Merges the peers that another daemon named; returns those that are new.
     pub fn merge_known(&mut self, now: Mono, named: &[KnownPeer]) -> Vec<Daemon> {
         let mut new = Vec::new();
+        self.grown.1 = self.grown.1.saturating_add(1);
         for peer in named {
             let age = AGE_UNIT * u32::from(peer.age);
             if age < self.settings.expire_after && self.record(&peer.daemon, now - age) {
--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -21,7 +21,8 @@
 const CONFIGURATION_DELAY: Duration = Duration::from_millis(200);
 /// Time until a service without servers may have one again: one reporting interval of a server.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(600);
-/// Time until another daemon, which a retry reaches, may send to one of the limited servers again.
+/// Time until another daemon, which a retry reaches, may send to one of the limited or cold servers
+/// again.
 const LIMITED_DELAY: Duration = Duration::from_millis(500);
 /// Longest random time after the end of a pause at which callers come back.
 const SPREAD_AFTER_PAUSE: Duration = Duration::from_millis(200);
@@ -42,6 +43,8 @@
     },
     /// All servers name limits that leave no request to this daemon in time.
     Limited,
+    /// All servers are cold, and none takes a request of this daemon in time.
+    Cold,
     /// The daemon is about to stop; another daemon can take the request at once.
     Stopping,
     /// Requests like this one crash the servers that run them.
@@ -59,6 +62,7 @@
             Self::NoRoom => "no_room",
             Self::Paused { .. } => "paused",
             Self::Limited => "limited",
+            Self::Cold => "cold",
             Self::Stopping => "stopping",
             Self::Crashing => "crashing",
             Self::Outdated => "outdated",
@@ -94,7 +98,7 @@
             let delay = left + SPREAD_AFTER_PAUSE.mul_f64(rng.random_range(0.0..1.0));
             return delay.clamp(MIN_DELAY, MAX_DELAY);
         }
-        RefusalReason::Limited => LIMITED_DELAY,
+        RefusalReason::Limited | RefusalReason::Cold => LIMITED_DELAY,
         RefusalReason::Stopping => MIN_DELAY,
         RefusalReason::Crashing => MAX_DELAY,
     };
--- a/cuminspreadd/src/edge/admin.rs
+++ b/cuminspreadd/src/edge/admin.rs
@@ -121,6 +121,10 @@
     /// asked for a pause.
     #[serde(default)]
     pub paused_ms: Option<u64>,
+    /// Time for which the server stays cold and bears few requests, in milliseconds; `None` if it is
+    /// warm.
+    #[serde(default)]
+    pub cold_ms: Option<u64>,
 }
 
 /// Serves the admin listener until the task is aborted.
@@ -192,6 +196,7 @@
     gauges.connections.set(opened);
     let servers = edge.servers();
     gauges.limited.set(servers.limited() as i64);
+    gauges.cold.set(servers.cold(edge.now()) as i64);
     gauges.paused.set(servers.paused(edge.now()) as i64);
     gauges.lost.set(servers.lost_services().count() as i64);
     drop(servers);
@@ -233,6 +238,11 @@
             .hold_off
             .pause_left(now)
             .map(|left| left.as_millis() as u64),
+        cold_ms: s
+            .hold_off
+            .cold
+            .left(now)
+            .map(|left| left.as_millis() as u64),
     });
     let mut servers: Vec<ServerStatus> = servers.collect();
     let peers = synced.peers.into_iter().map(|(daemon, age)| PeerStatus {
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -88,6 +88,8 @@
     pub limited: Gauge,
     /// Servers that want nothing of this daemon for a time.
     pub paused: Gauge,
+    /// Servers that are cold and bear few requests.
+    pub cold: Gauge,
     /// Services of which this daemon reaches no server.
     pub lost: Gauge,
 }
@@ -162,6 +164,11 @@
             "Servers that name a limit on their requests",
             gauges.limited.clone(),
         );
+        r.register(
+            "servers_cold",
+            "Servers that are cold and bear few requests",
+            gauges.cold.clone(),
+        );
         r.register(
             "servers_paused",
             "Servers that want nothing of this daemon for a time",
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -394,7 +394,10 @@
             if probed.contains(&key) {
                 continue;
             }
-            if server.state.is_fresh(now, edge.placement()) {
+            let fresh_age = edge.placement().fresh_age;
+            if server.state.is_fresh(now, edge.placement())
+                && server.hold_off.cold.is_checked(now, fresh_age)
+            {
                 probed.push(key);
             } else if server
                 .probed_since
@@ -425,6 +428,7 @@
                 RefusalReason::Paused { left }
             }
             Some(HoldOffCause::Limit) => RefusalReason::Limited,
+            Some(HoldOffCause::Cold) => RefusalReason::Cold,
             None => RefusalReason::NoServer,
         }
     }
--- a/cuminspreadd/src/edge/probe.rs
+++ b/cuminspreadd/src/edge/probe.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cuminspread::coordination::cold_server::ColdNews;
 use cuminspread::state::Name;
 use cuminspread::transport::upstream::exchange::Exchange;
 use cuminspread::transport::upstream::{self as transport, ConnectionChoice, Failure, Upstream};
@@ -41,6 +42,7 @@
     let Some((upstream, path, id)) = begin(&edge, key) else {
         return ProbeResult::Unsent;
     };
+    let sent_at = edge.now();
     let probed = tokio::time::timeout(TIMEOUT, request_health(&upstream, &path, choice)).await;
     let now = edge.now();
     let mut servers = edge.servers();
@@ -59,6 +61,11 @@
                 servers.record_pause(now, key, pause);
             }
             let is_new = servers.record_limit(now, key, health.limit, LimitSource::Probe);
+            let news = ColdNews::Check {
+                sent_at,
+                healthy: health.healthy,
+            };
+            let is_new = servers.record_cold(now, key, health.warm_up, news) || is_new;
             if health.leaving && servers.record_leaving(key) || is_new {
                 edge.server_notice.notify_one();
             }
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of one daemon share: active routes, servers and counters.
 
+mod cold_servers;
 mod reach;
 mod server_notices;
 mod service_queue;
@@ -13,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use cuminspread::coordination::catalog::ServerEntry;
+use cuminspread::coordination::cold_server::ColdNews;
 use cuminspread::coordination::decaying_rate::DecayingRate;
 use cuminspread::coordination::hold_off::HoldOff;
 use cuminspread::coordination::placement::{
@@ -238,7 +240,10 @@
         if before == 0 {
             self.first_known.notify_waiters();
         }
-        self.servers().retain_routes(&table);
+        let mut servers = self.servers();
+        servers.retain_routes(&table);
+        servers.set_cold_intervals(&table);
+        drop(servers);
         log::info!(
             "event=in_force version={version} before={before} routes={routes} source={source}"
         );
@@ -386,6 +391,11 @@
             if same {
                 // A server that has said itself that it is leaving doesn't take that back.
                 let draining = entry.draining || server.entry.draining;
+                if server.entry.sequence != entry.sequence
+                    && server.record_cold(edge.now(), entry.warm_up, ColdNews::Report)
+                {
+                    edge.server_notice.notify_one();
+                }
                 server.entry = ServerEntry {
                     draining,
                     ..entry.clone()
@@ -398,7 +408,8 @@
         self.next_key += 1;
         let near = entry.data_centre == edge.settings.data_centre;
         let table = edge.table();
-        let limit = table.service(&entry.service).map(|s| s.max_connections);
+        let spec = table.service(&entry.service);
+        let limit = spec.map(|s| s.max_connections);
         let upstream = Upstream::new(
             entry.id.clone(),
             entry.address,
@@ -410,7 +421,7 @@
         );
         let hold_off = self.former_hold_offs.remove(&entry.id);
         let hold_off = hold_off.filter(|(started_ms, _)| *started_ms == entry.started_ms);
-        let server = Server {
+        let mut server = Server {
             entry: entry.clone(),
             state: ServerState::new(near, entry.slots, edge.now() + entry.warm_up),
             upstream: Arc::new(upstream),
@@ -420,6 +431,11 @@
             limit_malformed: false,
             limit_reported: Mono::default(),
         };
+        let cold = &mut server.hold_off.cold;
+        cold.set_interval(spec.and_then(|s| s.cold_interval));
+        if server.record_cold(edge.now(), entry.warm_up, ColdNews::Report) {
+            edge.server_notice.notify_one();
+        }
         self.servers.insert(key, server);
         self.keys.insert(entry.id.clone(), key);
         let service = self.by_service.entry(entry.service.clone()).or_default();
--- a/cuminspreadd/src/edge/state/reach.rs
+++ b/cuminspreadd/src/edge/state/reach.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use cuminspread::coordination::hold_off::SendPermit;
 use cuminspread::coordination::reachability::{CheckEnd, ReachChange, Reachability};
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
@@ -65,11 +64,12 @@
         let mut next: Option<Mono> = None;
         let services: Vec<Name> = self.reach.keys().cloned().collect();
         for service in services {
-            // Servers that have asked for fewer requests aren't probed.
+            // Servers that have asked for fewer requests aren't probed; cold servers count checks as no
+            // requests.
             let mut servers = self.available(now, &service);
             servers.retain(|key| {
                 let hold_off = self.servers.get(key).map(|s| &s.hold_off);
-                hold_off.is_some_and(|h| h.limit.is_none() && h.permit(now) == SendPermit::Now)
+                hold_off.is_some_and(|h| h.limit.is_none() && h.pause_left(now).is_none())
             });
             let Some(reach) = self.reach.get(&service) else {
                 continue;
--- a/cuminspreadd/src/edge/state/server_notices.rs
+++ b/cuminspreadd/src/edge/state/server_notices.rs
@@ -154,8 +154,10 @@
         with_age.collect()
     }
 
-    /// Computes this daemon's parts of new and changed limits, and forgets what no longer holds.
+    /// Computes this daemon's parts of new and changed limits and of what cold servers bear, and
+    /// forgets what no longer holds.
     pub fn assign_limits(&mut self, now: Mono, mesh: &mut Mesh) {
+        self.assign_cold(now, mesh);
         self.former_hold_offs
             .retain(|_, (_, hold_off)| hold_off.is_active(now));
         for server in self.servers.values_mut() {
@@ -246,8 +248,10 @@
         if server.hold_off.permit(now) != SendPermit::Now {
             return false;
         }
-        if let Some(limit) = &mut server.hold_off.limit {
-            limit.record_sent(now);
+        server.hold_off.record_sent(now);
+        if let Some(left) = server.hold_off.cold.left(now) {
+            let (id, left) = (&server.entry.id, left.as_millis());
+            log::info!("event=cold_server_turn server={id} left_ms={left}");
         }
         true
     }
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -4,6 +4,8 @@
 #[path = "daemon/caller.rs"]
 #[allow(dead_code, reason = "shared with the tests of folder mode")]
 mod caller;
+#[path = "edge/cold_server.rs"]
+mod cold_server;
 #[path = "edge/crash.rs"]
 mod crash;
 #[path = "edge/cut_daemons.rs"]
