catalog: a server that turns cold again is a change, and time left loses its age

Cause: 'ServerEntry::differs' left out the warm-up time, so followers never heard of a server that turned cold again; and entries that were passed on later named the time left as of the report, so a new daemon took a warm server for cold.

Ruled out: passing on each report (the countdown of hundreds of servers, every 1.5 s, would fill the log of changes).

Change: a report counts as a change if the server turns cold for more than 1 s, or if it is warm 2 s earlier or later than expected; a report takes about that long from the server to its readers. An older daemon reads the entries as before and passes on the time as it got it.

Test: catalog::peers_learn_of_a_server_that_turns_cold_but_not_of_each_countdown.

--- a/cuminspread/src/coordination/catalog.rs
+++ b/cuminspread/src/coordination/catalog.rs
@@ -20,6 +20,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cold_server;
 use crate::state::Name;
 use crate::state::time::Mono;
 
@@ -84,14 +85,18 @@
 }
 
 impl ServerEntry {
-    /// Whether two reports differ in more than the sequence number and the warm-up time.
-    fn differs(&self, other: &Self) -> bool {
+    /// Whether two reports differ in more than the sequence number and the countdown of the warm-up.
+    ///
+    /// `expected_warm` and `warm` are the times at which the server is warm by the older and by the
+    /// newer report.
+    fn differs(&self, other: &Self, now: Mono, expected_warm: Mono, warm: Mono) -> bool {
         self.started_ms != other.started_ms
             || self.draining != other.draining
             || self.address != other.address
             || self.service != other.service
             || self.slots != other.slots
             || self.data_centre != other.data_centre
+            || cold_server::is_notable_change(now, expected_warm, warm)
     }
 
     /// Whether this report was made before another report of the same server.
@@ -153,6 +158,8 @@
     entry: ServerEntry,
     revision: Revision,
     presence: Presence,
+    /// When the entry was reported.
+    reported: Mono,
 }
 
 /// Local copy of the registry.
@@ -160,8 +167,8 @@
 pub struct Catalog {
     servers: BTreeMap<Name, Record>,
     revision: Revision,
-    /// Recent changes, oldest first.
-    log: VecDeque<RevisionedChange>,
+    /// Recent changes and their times, oldest first.
+    log: VecDeque<(Mono, RevisionedChange)>,
     /// The log has all changes after this revision.
     log_base: Revision,
 }
@@ -185,7 +192,8 @@
         in_use.then_some(&record.entry)
     }
 
-    /// Applies one change; returns whether more than a sequence number or a warm-up time is new.
+    /// Applies one change; returns whether more is new than a sequence number or the
+    /// countdown of a warm-up.
     ///
     /// A change of an older era of the store is ignored.
     pub fn apply(&mut self, now: Mono, new: RevisionedChange) -> bool {
@@ -197,9 +205,9 @@
             Change::Removed { id, lapsed } => self.remove(now, id, *lapsed, new.revision),
         };
         if changed {
-            self.log.push_back(new);
+            self.log.push_back((now, new));
             if self.log.len() > MAX_LOG_LEN
-                && let Some(dropped) = self.log.pop_front()
+                && let Some((_, dropped)) = self.log.pop_front()
             {
                 self.log_base = self.log_base.max(dropped.revision);
             }
@@ -340,25 +348,33 @@
 
     /// Changes after a revision; `None` if it is empty or of another era, or if the log doesn't
     /// reach back that far.
-    pub fn changes_since(&self, revision: Revision) -> Option<Vec<RevisionedChange>> {
+    pub fn changes_since(&self, now: Mono, revision: Revision) -> Option<Vec<RevisionedChange>> {
         if revision < self.log_base || revision.is_empty() || revision.era != self.revision.era {
             return None;
         }
-        let newer = self.log.iter().filter(|c| c.revision > revision);
-        Some(newer.cloned().collect())
+        let newer = self.log.iter().filter(|(_, c)| c.revision > revision);
+        let with_age = newer.map(|(at, revisioned)| {
+            let mut revisioned = revisioned.clone();
+            if let Change::Reported(entry) = &mut revisioned.change {
+                entry.warm_up = entry.warm_up.saturating_sub(now.since(*at));
+            }
+            revisioned
+        });
+        Some(with_age.collect())
     }
 
     /// Entries that the registry lists, each with its revision.
     ///
     /// A removed server that a copy of the store has brought back is listed as leaving, so that a
     /// daemon without a record of its removal doesn't use it either.
-    pub fn snapshot(&self) -> Vec<(Revision, ServerEntry)> {
+    pub fn snapshot(&self, now: Mono) -> Vec<(Revision, ServerEntry)> {
         let listed = self.servers.values().filter(|r| r.is_listed());
         listed
             .map(|r| {
                 let is_removed = matches!(r.presence, Presence::Removed { .. });
                 let entry = ServerEntry {
                     draining: r.entry.draining || is_removed,
+                    warm_up: r.entry.warm_up.saturating_sub(now.since(r.reported)),
                     ..r.entry.clone()
                 };
                 (r.revision, entry)
@@ -374,6 +390,7 @@
                     entry: entry.clone(),
                     revision,
                     presence: Presence::Present,
+                    reported: now,
                 },
             );
             return true;
@@ -399,8 +416,11 @@
             ..entry.clone()
         };
         let reappeared = !matches!(record.presence, Presence::Present);
-        let changed = reappeared || entry.differs(&record.entry);
+        let expected_warm = record.reported + record.entry.warm_up;
+        let warm = now + entry.warm_up;
+        let changed = reappeared || entry.differs(&record.entry, now, expected_warm, warm);
         record.entry = entry;
+        record.reported = now;
         record.revision = revision;
         record.presence = Presence::Present;
         changed
--- a/cuminspread/tests/catalog.rs
+++ b/cuminspread/tests/catalog.rs
@@ -300,15 +300,15 @@
     catalog.apply(at(0), removed(12, false));
     catalog.set_complete_to(first_era(12));
     assert_eq!(
-        catalog.changes_since(first_era(10)).map(|c| c.len()),
+        catalog.changes_since(at(0), first_era(10)).map(|c| c.len()),
         Some(1)
     );
     assert_eq!(
-        catalog.changes_since(first_era(12)).map(|c| c.len()),
+        catalog.changes_since(at(0), first_era(12)).map(|c| c.len()),
         Some(0)
     );
     // A daemon without any revision needs a snapshot.
-    assert_eq!(catalog.changes_since(first_era(0)), None);
+    assert_eq!(catalog.changes_since(at(0), first_era(0)), None);
 }
 
 #[test]
@@ -474,9 +474,9 @@
         false,
     );
     for known in [first_era(5), first_era(12), first_era(20), second_era(11)] {
-        assert_eq!(catalog.changes_since(known), None, "{known}");
+        assert_eq!(catalog.changes_since(at(0), known), None, "{known}");
     }
-    let since = catalog.changes_since(second_era(12));
+    let since = catalog.changes_since(at(0), second_era(12));
     assert_eq!(since.map(|c| c.len()), Some(0));
     // The end of the listing is a change that peers get, too.
     let again = RevisionedChange {
@@ -486,7 +486,7 @@
     assert!(catalog.clone().apply(at(150), again));
     // A peer without a record of the removal must not use the server.
     let mut peer = Catalog::default();
-    peer.reconcile(at(200), second_era(12), catalog.snapshot(), false);
+    peer.reconcile(at(200), second_era(12), catalog.snapshot(at(0)), false);
     assert_eq!(status(&peer), Status::Leaving);
 }
 
@@ -495,8 +495,8 @@
     let mut catalog = Catalog::default();
     let snapshot = vec![(first_era(10), entry(FIRST))];
     catalog.reconcile(at(0), first_era(20), snapshot, false);
-    assert_eq!(catalog.changes_since(first_era(15)), None);
-    let since = catalog.changes_since(first_era(20));
+    assert_eq!(catalog.changes_since(at(0), first_era(15)), None);
+    let since = catalog.changes_since(at(0), first_era(20));
     assert_eq!(since.map(|c| c.len()), Some(0));
 }
 
@@ -540,3 +540,84 @@
         assert_eq!(status(&catalog), case.end, "{}", case.what);
     }
 }
+
+#[test]
+fn peers_learn_of_a_server_that_turns_cold_but_not_of_each_countdown() {
+    struct Case {
+        name: &'static str,
+        /// Time of the second report, after a first one with 3 s left, in milliseconds.
+        at: u64,
+        left_ms: u64,
+        is_new: bool,
+    }
+    let cases = [
+        Case {
+            name: "the countdown",
+            at: 1500,
+            left_ms: 1500,
+            is_new: false,
+        },
+        Case {
+            name: "the countdown, read late",
+            at: 2300,
+            left_ms: 1500,
+            is_new: false,
+        },
+        Case {
+            name: "warm as expected",
+            at: 4000,
+            left_ms: 0,
+            is_new: false,
+        },
+        Case {
+            name: "the end of the warm-up, read late",
+            at: 3700,
+            left_ms: 700,
+            is_new: false,
+        },
+        Case {
+            name: "cold again",
+            at: 8000,
+            left_ms: 2500,
+            is_new: true,
+        },
+        Case {
+            name: "cold again before it was warm",
+            at: 1500,
+            left_ms: 10_000,
+            is_new: true,
+        },
+        Case {
+            name: "warm long before expected",
+            at: 500,
+            left_ms: 0,
+            is_new: true,
+        },
+    ];
+    let cold = |sequence: u64, left_ms: u64| RevisionedChange {
+        revision: first_era(sequence),
+        change: Change::Reported(ServerEntry {
+            warm_up: Duration::from_millis(left_ms),
+            ..entry(Report { sequence, ..FIRST })
+        }),
+    };
+    for case in cases {
+        let mut catalog = Catalog::default();
+        catalog.set_complete_to(first_era(9));
+        assert!(catalog.apply(at(0), cold(10, 3000)));
+        let is_new = catalog.apply(at(case.at), cold(11, case.left_ms));
+        assert_eq!(is_new, case.is_new, "{}", case.name);
+    }
+    // What peers are told of the time left takes the age of the report off.
+    let mut catalog = Catalog::default();
+    catalog.set_complete_to(first_era(9));
+    catalog.apply(at(0), cold(10, 3000));
+    let left = Duration::from_millis(1800);
+    assert_eq!(catalog.snapshot(at(1200))[0].1.warm_up, left);
+    let changes = catalog.changes_since(at(1200), first_era(9));
+    let expected = RevisionedChange {
+        revision: first_era(10),
+        ..cold(10, 1800)
+    };
+    assert_eq!(changes, Some(vec![expected]));
+}
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -53,7 +53,7 @@
             .first()
             .copied()
             .unwrap_or_default();
-        let changes = state.catalog.changes_since(base);
+        let changes = state.catalog.changes_since(self.edge.now(), base);
         state.published_revisions.push(versions.revision);
         if state.published_revisions.len() > CHANGE_REPEATS {
             state.published_revisions.remove(0);
@@ -450,8 +450,8 @@
         let newer = routing.version > pull.have.version;
         let revision = state.catalog.revision();
         let registry = (revision > pull.have.revision).then(|| {
-            let changes = state.catalog.changes_since(pull.have.revision);
-            let snapshot = || RegistryUpdate::Snapshot(state.catalog.snapshot());
+            let changes = state.catalog.changes_since(now, pull.have.revision);
+            let snapshot = || RegistryUpdate::Snapshot(state.catalog.snapshot(now));
             changes.map_or_else(snapshot, RegistryUpdate::Changes)
         });
         PullResponse {
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -197,7 +197,7 @@
             let mut catalog = Catalog::default();
             apply_changes(&mut catalog, update.changes);
             catalog.set_complete_to(versions.revision);
-            catalog.changes_since(base);
+            catalog.changes_since(NOW, base);
             if let Some(delta) = update.routing {
                 apply_delta(delta);
             }
