--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -10,6 +10,8 @@
 mod crash;
 #[path = "edge/cut_daemons.rs"]
 mod cut_daemons;
+#[path = "edge/evacuation.rs"]
+mod evacuation;
 #[path = "edge/fixture.rs"]
 mod fixture;
 #[path = "edge/forwarding.rs"]
--- a/cuminspreadd/tests/edge/cold_server.rs
+++ b/cuminspreadd/tests/edge/cold_server.rs
@@ -11,7 +11,7 @@
 use crate::caller::{self, Response};
 use crate::fixture::{Fixture, STATUS_SERVICE, start_fleet};
 
-const DAEMONS: usize = 1;
+const DAEMONS: usize = 4;
 /// Requests a second that a cold server bears.
 const COLD_PER_S: f64 = 2.5;
 /// Most requests in any second at a cold server; the users allow one and a half times the rate and
