--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -5,14 +5,15 @@
 //! for the messages between daemons.
 //!
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
-//! [`catalog`], [`evacuation`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
-//! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`],
+//! [`catalog`], [`evacuation`] and [`leaving`] for peers and servers with [`placement`],
+//! [`wait_queue`], [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`],
 //! [`forwarding`], [`read_ahead`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
 pub mod catalog;
 pub mod choice;
+pub mod cold_server;
 pub mod crash;
 pub mod decaying_rate;
 pub mod dispatch;
