evacuation: daemons that hear of a change tell a few peers for three seconds

Cause: if the store and its reader are lost right after a data centre was emptied, what lost datagrams would have told is passed on by hellos alone. In virtual time with half of the messages lost, 7 of 312 daemons had not heard after 4 s.

Change: a daemon that learns of a change tells four near peers at once, and with each hello of the next 3 s. An older daemon drops the report as unknown.

--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -65,6 +65,8 @@
     evacuations: Evacuations,
     /// Some data centre has been emptied since the start.
     evacuations_seen: bool,
+    /// Time until which peers are told of the last change of emptied data centres.
+    tells_evacuations_until: Mono,
     /// The active configuration lacks its terms, and a peer may have them.
     wants_terms: bool,
     /// Active version at the last snapshot of the store, which has its terms unless the store has
@@ -168,6 +170,7 @@
             leaving: LeavingServers::new(seed),
             evacuations: Evacuations::default(),
             evacuations_seen: false,
+            tells_evacuations_until: Mono::default(),
             wants_terms: false,
             terms_read_for: 0,
             published_revisions: Vec::new(),
@@ -453,6 +456,7 @@
             if let Some(report) = evacuation::report(&state) {
                 self.send_all(&targets, &report);
             }
+            self.tell_evacuations(&mut state);
         }
         let expired = state.catalog.expire(now);
         let confirmed = state.catalog.confirm_restored(now);
--- a/cuminspreadd/src/edge/control/evacuation.rs
+++ b/cuminspreadd/src/edge/control/evacuation.rs
@@ -1,6 +1,7 @@
 //! Emptied data centres: what this daemon knows of them, and what it tells its peers.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cuminspread::coordination::catalog::Revision;
@@ -9,6 +10,12 @@
 
 use super::{Control, SyncState};
 
+/// Near peers that a daemon tells of a change.
+const TOLD_PEERS: usize = 4;
+/// Time after a change in which it also tells as many with each hello: the store may be down, and
+/// the datagrams with the update may be lost.
+const TELL_TIME: Duration = Duration::from_secs(3);
+
 impl Control {
     /// Revision after which the next read begins; empty for a snapshot.
     ///
@@ -63,6 +70,8 @@
             );
         }
         state.evacuations_seen = true;
+        state.tells_evacuations_until = self.edge.now() + TELL_TIME;
+        self.tell_evacuations(state);
         let emptied = state.evacuations.data_centres.keys().cloned().collect();
         let mut servers = self.edge.servers();
         servers.set_emptied(
@@ -71,6 +80,19 @@
             self.edge.placement(),
         );
     }
+
+    /// Tells a few near peers of the emptied data centres, for a while after a change.
+    pub(super) fn tell_evacuations(&self, state: &mut SyncState) {
+        if self.edge.now() >= state.tells_evacuations_until {
+            return;
+        }
+        let peers: Vec<SocketAddr> = (0..TOLD_PEERS)
+            .filter_map(|_| state.mesh.random_near())
+            .collect();
+        if let Some(report) = report(state) {
+            self.send_all(&peers, &report);
+        }
+    }
 }
 
 /// Report of the emptied data centres to a peer; `None` if there never were any.
