evacuation: status, metric and tools name emptied data centres

/status has them with the revision up to which they are known, the metric data_centres_emptied their number. 'cumin fleet' prints them and fails while daemons differ. 'cumin explain-request' has a sentence for requests refused for want of a server outside of emptied data centres or in the regions of the route.

An older daemon's status lacks the fields; the tools read that as none.

Tests: two cases more in cumin/tests/request.rs.

--- a/cumin/src/fleet.rs
+++ b/cumin/src/fleet.rs
@@ -13,7 +13,8 @@
     Command::new("fleet").about("Shows the state of daemons in store mode, and its age")
 }
 
-/// Runs the subcommand; the exit status is 1 if a daemon isn't ready or active versions differ.
+/// Runs the subcommand; the exit status is 1 if a daemon isn't ready, or if active versions or
+/// emptied data centres differ.
 pub async fn run(daemons: &[AdminClient], json: bool) -> anyhow::Result<ExitCode> {
     let mut statuses = Vec::new();
     for daemon in daemons {
@@ -25,11 +26,15 @@
         statuses.iter().for_each(print);
     }
     let versions: BTreeSet<u64> = statuses.iter().map(|s| s.version).collect();
+    let emptied: BTreeSet<&[String]> = statuses.iter().map(|s| s.emptied.as_slice()).collect();
+    if !json && emptied.len() > 1 {
+        println!("emptied data centres differ: {emptied:?}");
+    }
     let ready = statuses.iter().all(|s| s.ready);
     if !json && versions.len() > 1 {
         println!("versions differ: {versions:?}");
     }
-    Ok(if ready && versions.len() == 1 {
+    Ok(if ready && versions.len() == 1 && emptied.len() == 1 {
         ExitCode::SUCCESS
     } else {
         ExitCode::FAILURE
@@ -74,6 +79,13 @@
             status.lost_services.join(", ")
         );
     }
+    if !status.emptied.is_empty() {
+        println!(
+            "  emptied data centres, as of revision {}: {}",
+            status.emptied_as_of,
+            status.emptied.join(", ")
+        );
+    }
     let mut services: BTreeMap<&str, [usize; 5]> = BTreeMap::new();
     for server in &status.servers {
         let counts = services.entry(&server.service).or_default();
--- a/cumin/src/request.rs
+++ b/cumin/src/request.rs
@@ -172,6 +172,15 @@
         ("refused", "no_server") => format!(
             "It was refused, and has not run: no server of {service} accepted requests, or all failed"
         ),
+        ("refused", "emptied") => format!(
+            "It was refused, and has not run: all servers of {service} that it may be sent to are in \
+             emptied data centres"
+        ),
+        ("refused", "no_server_in_region") => format!(
+            "It was refused, and has not run: no server of {service} is in a region that route {} \
+             allows",
+            final_line.field("route")
+        ),
         ("refused", "no_room") if or_zero(final_line.field("sends")) != "0" => format!(
             "It was refused, and has not run: the servers of {service} that it was sent to \
              refused it, and it could not be sent again"
--- a/cumin/tests/request.rs
+++ b/cumin/tests/request.rs
@@ -15,6 +15,8 @@
 time_ms=75 level=warn event=request id=a-14 outcome=refused detail=crashing sends=0
 time_ms=76 level=warn event=request id=a-18 service=orders outcome=refused detail=paused sends=0
 time_ms=77 level=warn event=request id=a-19 service=orders outcome=refused detail=limited sends=0
+time_ms=78 level=warn event=request id=a-23 route=r service=orders outcome=refused detail=emptied sends=0
+time_ms=79 level=warn event=request id=a-24 route=r-home service=orders outcome=refused detail=no_server_in_region sends=0
 time_ms=80 level=info event=placed id=a-15 server=i-3 slowness=1.00 report_age_us=90
 time_ms=90 level=info event=waits id=a-16 service=orders waiting=3
 time_ms=900 level=info event=started name=vm-1 data_centre=hall
@@ -48,6 +50,18 @@
         cause: "has not run: no server of orders had room in time; 0 sends",
         found: true,
     },
+    Case {
+        id: "a-23",
+        lines: 1,
+        cause: "all servers of orders that it may be sent to are in emptied data centres",
+        found: true,
+    },
+    Case {
+        id: "a-24",
+        lines: 1,
+        cause: "no server of orders is in a region that route r-home allows",
+        found: true,
+    },
     Case {
         id: "a-13",
         lines: 1,
--- a/cuminspreadd/src/edge/admin.rs
+++ b/cuminspreadd/src/edge/admin.rs
@@ -67,6 +67,12 @@
     /// Services of which this daemon reaches no server, sorted.
     #[serde(default)]
     pub lost_services: Vec<String>,
+    /// Data centres whose servers get nothing, sorted.
+    #[serde(default)]
+    pub emptied: Vec<String>,
+    /// Revision of the store up to which `emptied` is complete, as era/number.
+    #[serde(default)]
+    pub emptied_as_of: String,
     /// Peers heard recently.
     pub peers: Vec<PeerStatus>,
     /// Servers, sorted by service and id.
@@ -181,6 +187,8 @@
     gauges.era.set(synced.revision.era);
     gauges.revision.set(synced.revision.number);
     gauges.daemons.set(synced.daemons as i64);
+    let emptied = synced.evacuations.data_centres.len();
+    gauges.emptied.set(emptied as i64);
     gauges.sent.set(synced.sent_bytes);
     gauges.received.set(synced.received_bytes);
     gauges.lines_dropped.set(logging::dropped());
@@ -235,6 +243,7 @@
             .map(|left| left.as_millis() as u64),
     });
     let mut servers: Vec<ServerStatus> = servers.collect();
+    let emptied = synced.evacuations.data_centres.keys();
     let peers = synced.peers.into_iter().map(|(daemon, age)| PeerStatus {
         address: daemon.address.to_string(),
         data_centre: daemon.data_centre.to_string(),
@@ -261,6 +270,8 @@
         failed_reads: synced.failed_reads,
         daemons: synced.daemons,
         lost_services,
+        emptied: emptied.map(ToString::to_string).collect(),
+        emptied_as_of: synced.evacuations.as_of.to_string(),
         peers,
         servers,
     }
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -90,6 +90,8 @@
     pub paused: Gauge,
     /// Services of which this daemon reaches no server.
     pub lost: Gauge,
+    /// Data centres whose servers get nothing.
+    pub emptied: Gauge,
 }
 
 impl EdgeMetrics {
@@ -172,6 +174,11 @@
             "Services of which this daemon reaches no server",
             gauges.lost.clone(),
         );
+        r.register(
+            "data_centres_emptied",
+            "Data centres whose servers get nothing",
+            gauges.emptied.clone(),
+        );
         Self {
             registry,
             requests,
