routing: requests of a route with regions stay in data centres of these

Cause: the regions that a route allows were decoded and not used, so its requests could go to any server and any peer.

Ruled out: regions in the messages between daemons. All daemons have the same settings, and a peer's data centre is known.

Change: [regions] of the settings names the region of each data centre; the platform fills it in. Servers elsewhere, or in a data centre that isn't named, are left out for such a route, and requests are forwarded only to peers in its regions. If no server of the service is there, the request is refused at once (reason 'no_server_in_region'). After a restart, the sample of servers counts as sufficient only without those in emptied data centres. Routes without regions are served as before.

Tests: regions::* (whole daemons), regions_of_data_centres_are_parsed.

--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -586,6 +586,7 @@
         timeout_s: 1.2,
         latency_target_s: 0.3,
         max_attempts: MAX_ATTEMPTS as u8,
+        ..RouteRow::default()
     }
 }
 
--- a/cuminspread/src/coordination/forwarding.rs
+++ b/cuminspread/src/coordination/forwarding.rs
@@ -132,9 +132,22 @@
         service: &str,
         tried: &[SocketAddr],
         rng: &mut Pcg32,
+    ) -> Option<SocketAddr> {
+        self.choose_among(now, service, tried, |_| true, rng)
+    }
+
+    /// Like [`Self::choose`], among the peers that may have the request.
+    pub fn choose_among(
+        &self,
+        now: Mono,
+        service: &str,
+        tried: &[SocketAddr],
+        may_have: impl Fn(SocketAddr) -> bool,
+        rng: &mut Pcg32,
     ) -> Option<SocketAddr> {
         let is_usable = |p: &&PeerState| {
             now >= p.pause.until
+                && may_have(p.peer.address)
                 && p.without.get(service).is_none_or(|w| now >= w.until)
                 && !tried.contains(&p.peer.address)
         };
--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -35,6 +35,8 @@
     NoServer,
     /// All servers of the service are in data centres that are emptied.
     Emptied,
+    /// No server of the service is in a region that the route allows.
+    NoServerInRegion,
     /// No server will have a free slot in time.
     NoRoom,
     /// All servers want nothing of this daemon for a time.
@@ -59,6 +61,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoServer => "no_server",
             Self::Emptied => "emptied",
+            Self::NoServerInRegion => "no_server_in_region",
             Self::NoRoom => "no_room",
             Self::Paused { .. } => "paused",
             Self::Limited => "limited",
@@ -82,7 +85,9 @@
 pub fn retry_after(reason: RefusalReason, service: ServiceState, rng: &mut Pcg32) -> Duration {
     let expected = match reason {
         RefusalReason::NoConfiguration | RefusalReason::Outdated => CONFIGURATION_DELAY,
-        RefusalReason::NoServer | RefusalReason::Emptied => REGISTRATION_DELAY,
+        RefusalReason::NoServer | RefusalReason::Emptied | RefusalReason::NoServerInRegion => {
+            REGISTRATION_DELAY
+        }
         // On average half of the running requests end within half the processing time. An overload
         // is expected to last as long again as it has lasted, and a caller that comes back sooner
         // would take the place of one that can still be served in time.
--- a/cuminspread/src/state/routing.rs
+++ b/cuminspread/src/state/routing.rs
@@ -50,6 +50,13 @@
     pub allowed_regions: Vec<Name>,
 }
 
+impl Route {
+    /// Whether servers and daemons of a region may have its requests; `None` for an unknown region.
+    pub fn allows(&self, region: Option<&Name>) -> bool {
+        self.allowed_regions.is_empty() || region.is_some_and(|r| self.allowed_regions.contains(r))
+    }
+}
+
 /// Settings of one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -553,16 +553,17 @@
     }
 }
 
-/// Peers that take forwarded requests.
-fn forward_peers(mesh: &Mesh) -> Vec<ForwardPeer> {
+/// Peers that take forwarded requests, and their data centres.
+fn forward_peers(mesh: &Mesh) -> Vec<(ForwardPeer, Name)> {
     let near = &mesh.me().data_centre;
     let peers = mesh.daemons().filter_map(|daemon| {
-        Some(ForwardPeer {
+        let peer = ForwardPeer {
             address: daemon.forward_address()?,
             started_ms: daemon.started_ms,
             near: daemon.data_centre == *near,
             capacity: daemon.capacity,
-        })
+        };
+        Some((peer, daemon.data_centre.clone()))
     });
     peers.collect()
 }
--- a/cuminspreadd/src/edge/control/store.rs
+++ b/cuminspreadd/src/edge/control/store.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminspread::coordination::catalog::{Catalog, Change, Revision, RevisionedChange};
+use cuminspread::coordination::catalog::{
+    Catalog, Change, Revision, RevisionedChange, ServerEntry,
+};
 use cuminspread::coordination::reader::{self, ReadAttempt, Role};
 use cuminspread::coordination::store_read::{Part, ReadError, ReadResult, Servers};
 use cuminspread::state::time::Mono;
@@ -47,8 +49,13 @@
         if !self.lock().catalog.revision().is_empty() {
             return Ok(());
         }
+        let evacuations = self.lock().evacuations.clone();
+        let used = |entry: &&ServerEntry| !evacuations.contains(&entry.data_centre);
         if let Servers::Sample(servers) = &sample.servers
-            && !reader::sample_suffices(self.edge.table().routing(), servers.iter().map(|s| &s.1))
+            && !reader::sample_suffices(
+                self.edge.table().routing(),
+                servers.iter().map(|s| &s.1).filter(used),
+            )
         {
             sample = self
                 .store
--- a/cuminspreadd/src/edge/forward.rs
+++ b/cuminspreadd/src/edge/forward.rs
@@ -47,12 +47,17 @@
 pub struct ForwardPool {
     /// Which peer gets a request.
     pub peers: Forwarding,
+    /// Data centres of the peers.
+    data_centres: HashMap<SocketAddr, Name>,
     upstreams: HashMap<SocketAddr, Arc<Upstream>>,
 }
 
 impl ForwardPool {
-    /// Replaces the peers; running requests continue.
-    pub fn set_peers(&mut self, peers: Vec<ForwardPeer>) {
+    /// Replaces the peers, each with its data centre; running requests continue.
+    pub fn set_peers(&mut self, peers: Vec<(ForwardPeer, Name)>) {
+        let data_centres = peers.iter().map(|(p, d)| (p.address, d.clone()));
+        self.data_centres = data_centres.collect();
+        let peers: Vec<ForwardPeer> = peers.into_iter().map(|(p, _)| p).collect();
         let is_peer = |address: &SocketAddr| peers.iter().any(|p| p.address == *address);
         self.upstreams.retain(|address, _| is_peer(address));
         self.peers.set_peers(peers);
@@ -178,9 +183,14 @@
     let now = edge.now();
     let mut servers = edge.servers();
     let mut pool = edge.forward_pool();
+    let may_have = |peer| {
+        let data_centre = pool.data_centres.get(&peer);
+        data_centre.is_some_and(|d| edge.allows(&req.route, d))
+    };
+    let rng = &mut servers.rng;
     let peer = pool
         .peers
-        .choose(now, &req.service, tried, &mut servers.rng)?;
+        .choose_among(now, &req.service, tried, may_have, rng)?;
     pool.peers.record_sent(peer);
     Some((peer, pool.upstream(peer, &edge.settings)))
 }
@@ -260,9 +270,10 @@
 
 /// What a peer's refusal says of the peer, by its reason.
 fn refusal_end(reason: Option<&HeaderValue>) -> (ForwardEnd, &'static str) {
-    const REASONS: [(&str, ForwardEnd); 8] = [
+    const REASONS: [(&str, ForwardEnd); 9] = [
         ("no_server", ForwardEnd::NoServer),
         ("emptied", ForwardEnd::NoServer),
+        ("no_server_in_region", ForwardEnd::NoServer),
         ("outdated", ForwardEnd::Outdated),
         ("stopping", ForwardEnd::Unavailable),
         ("no_configuration", ForwardEnd::Unavailable),
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -331,8 +331,8 @@
     no_near: bool,
     /// At least one server has not failed recently.
     alive: bool,
-    /// All servers that would take the request are in emptied data centres.
-    all_emptied: bool,
+    /// Why there is no server, if that isn't for want of a healthy one.
+    none_because: Option<RefusalReason>,
 }
 
 impl Candidates {
@@ -355,7 +355,7 @@
             contended: servers.queue(&req.service).order.len() > 1,
         };
         let mut keys = servers.available(now, &req.service);
-        let all_emptied = keys.is_empty() && servers.has_emptied(&req.service);
+        let none_because = servers.restrict_to_regions(edge, req, &mut keys);
         keys.retain(|k| !tried.contains(k));
         let mut candidates = Self {
             cx,
@@ -367,7 +367,7 @@
             silent: 0,
             no_near: true,
             alive: false,
-            all_emptied,
+            none_because,
         };
         for key in keys {
             let Some(server) = servers.get_mut(key) else {
@@ -431,8 +431,7 @@
                 RefusalReason::Paused { left }
             }
             Some(HoldOffCause::Limit) => RefusalReason::Limited,
-            None if self.all_emptied => RefusalReason::Emptied,
-            None => RefusalReason::NoServer,
+            None => self.none_because.unwrap_or(RefusalReason::NoServer),
         }
     }
 }
--- a/cuminspreadd/src/edge/settings.rs
+++ b/cuminspreadd/src/edge/settings.rs
@@ -1,11 +1,13 @@
 //! Settings of daemons in store mode.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use cuminspread::coordination::mesh::MeshSettings;
 use cuminspread::coordination::placement::PlacementSettings;
 use cuminspread::coordination::reader::ReaderSettings;
+use cuminspread::state::Name;
 
 /// Settings that only a daemon in store mode has.
 #[derive(Debug, Clone)]
@@ -32,6 +34,8 @@
     pub retry_slack: f32,
     /// Most probes a second that a server gets from all daemons together.
     pub probes_per_s: f32,
+    /// Regions of the data centres; one that isn't named is in no region.
+    pub regions: BTreeMap<Name, Name>,
     /// When this daemon reads the store.
     pub reader: ReaderSettings,
     /// Gossip with peers.
@@ -54,6 +58,7 @@
             retry_ratio: 0.2,
             retry_slack: 64.0,
             probes_per_s: 40.0,
+            regions: BTreeMap::new(),
             reader: ReaderSettings::default(),
             mesh: MeshSettings::default(),
             placement: PlacementSettings::default(),
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of one daemon share: active routes, servers and counters.
 
-mod emptied;
+mod location;
 mod reach;
 mod server_notices;
 mod service_queue;
@@ -355,6 +355,11 @@
         &self.buffered
     }
 
+    /// Whether servers and daemons of a data centre may have a route's requests.
+    pub fn allows(&self, route: &Route, data_centre: &str) -> bool {
+        route.allows(self.edge_settings.regions.get(data_centre))
+    }
+
     /// Settings of server placement.
     pub fn placement(&self) -> &PlacementSettings {
         &self.edge_settings.placement
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -7,6 +7,7 @@
 //! | `platform` | `url` |
 //! | `store` | `address` |
 //! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
+//! | `regions` | a data centre each; its region |
 //! | `peers` | `key`, `previous_key`, `seeds`, `first_start`, `core_share` |
 //! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
 //! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `source` |
@@ -188,6 +189,9 @@
             ("peers", "key") => s.peer_keys.insert(0, secret(value)?),
             ("peers", "previous_key") => s.peer_keys.push(secret(value)?),
             ("bounds", "looks_per_s") => edge(s).probes_per_s = amount(value)?,
+            ("regions", data_centre) => {
+                edge(s).regions.insert(name(data_centre)?, name(value)?);
+            }
             ("callers", _) => return self.set_callers(key, value),
             ("servers", _) => return self.set_servers(key, value),
             ("traces", "otlp") => s.traces.otlp = url(value)?,
@@ -278,9 +282,9 @@
     }
 }
 
-const SECTIONS: [&str; 10] = [
-    "daemon", "listen", "platform", "store", "peers", "bounds", "callers", "servers", "traces",
-    "log",
+const SECTIONS: [&str; 11] = [
+    "daemon", "listen", "platform", "store", "peers", "bounds", "regions", "callers", "servers",
+    "traces", "log",
 ];
 
 /// Required keys in store mode.
--- a/cuminspreadd/tests/daemon/settings.rs
+++ b/cuminspreadd/tests/daemon/settings.rs
@@ -38,6 +38,21 @@
     assert_eq!(settings.peer_keys.len(), 1);
 }
 
+#[test]
+fn regions_of_data_centres_are_parsed() {
+    let text = VALID.replace("[platform]\nurl = http://127.0.0.1:8500/", "");
+    let store = "[store]\naddress = 127.0.0.1:8384\n";
+    let regions = "[regions]\nhall = north\nyard.2 = south\n";
+    let parsed = parse("vm.ini", &format!("{text}{store}{regions}")).unwrap();
+    let regions = parsed.edge.unwrap().regions;
+    let regions = regions.iter().map(|(d, r)| (&**d, &**r));
+    assert!(regions.eq([("hall", "north"), ("yard.2", "south")]));
+    let parsed = parse("vm.ini", &format!("{text}{store}[regions]\nhall =\n"));
+    let faults = parsed.unwrap_err().0;
+    assert_eq!(faults[0].section, "regions");
+    assert_eq!(faults[0].key, "hall");
+}
+
 type Change = (&'static str, &'static str);
 type Location = (usize, &'static str, &'static str);
 
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -24,6 +24,8 @@
 mod program;
 #[path = "edge/reader_loss.rs"]
 mod reader_loss;
+#[path = "edge/regions.rs"]
+mod regions;
 #[path = "edge/responses.rs"]
 mod responses;
 #[path = "edge/restore.rs"]
--- a/cuminspreadd/tests/edge/fixture.rs
+++ b/cuminspreadd/tests/edge/fixture.rs
@@ -104,6 +104,12 @@
     caller::send(daemon.readiness(), &text).await.status == 200
 }
 
+/// What the admin listener answers to a request for a path.
+pub async fn get(daemon: &EdgeDaemon, path: &str) -> String {
+    let text = format!("GET {path} HTTP/1.1\r\nhost: vm\r\n\r\n");
+    caller::send(daemon.admin(), &text).await.text()
+}
+
 /// Sends one request on a new connection and reads the response.
 pub async fn send(daemon: &EdgeDaemon, req: &ClientRequest<'_>) -> Response {
     caller::send(daemon.front(), &req.text()).await
