--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of one daemon share: active routes, servers and counters.
 
 mod cold_servers;
-mod emptied;
+mod location;
 mod reach;
 mod server_notices;
 mod service_queue;
@@ -364,6 +364,11 @@
         &self.buffered
     }
 
+    /// Whether servers and daemons of a data centre may have a route's requests.
+    pub fn allows(&self, route: &Route, data_centre: &str) -> bool {
+        route.allows(self.edge_settings.regions.get(data_centre))
+    }
+
     /// Settings of server placement.
     pub fn placement(&self) -> &PlacementSettings {
         &self.edge_settings.placement
