--- a/cuminspreadd/tests/edge/ahead.rs
+++ b/cuminspreadd/tests/edge/ahead.rs
@@ -1,10 +1,13 @@
 //! Callers that send requests before the ones in front are answered.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use cuminspread_platform::standin::client::ClientRequest;
 use cuminspread_platform::standin::server::{Behaviour, StandInServer};
-use cuminspread_platform::standin::store::RouteRow;
+use cuminspread_platform::standin::store::{RouteRow, config_text};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg32;
 
 use crate::caller::Caller;
 use crate::fixture::{Fixture, wait_for};
@@ -381,3 +384,90 @@
     assert_eq!(fixture.runs() - 1, abandoned(&fixture));
     daemon.kill();
 }
+
+/// Random requests in random parts, at servers that answer, fail, refuse and break off at random:
+/// answers keep their order and their owners, and a request that may run once does.
+#[tokio::test]
+async fn any_mix_of_requests_is_answered_in_order() {
+    const CONNECTIONS: usize = 80;
+    let behaviours = [
+        Behaviour::Answer,
+        Behaviour::Answer,
+        Behaviour::Slow(15),
+        Behaviour::Fail,
+        Behaviour::Shed,
+        Behaviour::Reset,
+        Behaviour::CutShort,
+        Behaviour::ExtraResponse,
+        Behaviour::WrongId,
+    ];
+    let orders = RouteRow {
+        name: "r-2",
+        prefix: "/orders/",
+        idempotent: false,
+        ..RouteRow::default()
+    };
+    let fixture = Fixture::without_config(4).await;
+    let rows = [RouteRow::default(), orders];
+    fixture.store.put_config(config_text(3, &rows, 15.0));
+    let daemon = fixture.start_daemon().await;
+    let mut rng = Pcg32::seed_from_u64(7);
+    let mut served = 0;
+    for connection in 0..CONNECTIONS {
+        for server in &fixture.servers {
+            server.set_behaviour(behaviours[rng.random_range(0..behaviours.len())]);
+        }
+        let ids: Vec<_> = (0..rng.random_range(1..7))
+            .map(|i| format!("id-{connection}-{i}"))
+            .collect();
+        let texts: String = ids.iter().map(|id| any_request(id, &mut rng)).collect();
+        let mut caller = Caller::connect(daemon.front()).await;
+        let mut rest = texts.as_bytes();
+        while !rest.is_empty() {
+            let (part, next) = rest.split_at(rng.random_range(1..=rest.len()));
+            caller.write(part).await;
+            tokio::time::sleep(Duration::from_micros(rng.random_range(0..800))).await;
+            rest = next;
+        }
+        for id in &ids {
+            let res = caller.read_response(false).await;
+            match res.status {
+                200 => assert_eq!(res.text(), format!("answer to {id}")),
+                500 => assert_eq!(res.text(), "failed", "{id}"),
+                502..=504 => {}
+                other => panic!("status {other} for {id}"),
+            }
+            assert!(res.complete, "{id}");
+            served += usize::from(res.status == 200);
+        }
+    }
+    assert!(served > CONNECTIONS, "{served}");
+    let runs: Vec<_> = fixture
+        .servers
+        .iter()
+        .flat_map(StandInServer::executed)
+        .filter(|r| r.request_line.contains("/orders/"))
+        .map(|r| r.id)
+        .collect();
+    let ids: HashSet<_> = runs.iter().collect();
+    assert_eq!(ids.len(), runs.len(), "an order ran twice");
+    daemon.kill();
+}
+
+fn any_request(id: &str, rng: &mut Pcg32) -> String {
+    let kind = rng.random_range(0..5);
+    ClientRequest {
+        method: if kind < 3 { "GET" } else { "POST" },
+        target: if kind < 3 { "/jobs/1" } else { "/orders/1" },
+        id,
+        body: if kind < 3 {
+            ""
+        } else {
+            "GET / HTTP/1.1\r\n\r\n"
+        },
+        chunked: kind == 4,
+        deadline_ms: 500,
+        ..ClientRequest::default()
+    }
+    .text()
+}
