caller_stream: requests behind the one in front are started after it

Cause: they were started when their heads arrived, which may be before hyper's service begins the request in front. They could take the servers that it needs, and it delays all of their answers.

Change: they are started once the service has taken the one in front. No older daemon sees a difference.

Tests: those of tests/edge/ahead.rs and stop.rs, which pass as before; no test fails without the change.

--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -104,9 +104,20 @@
 pub struct CallerConnection(Arc<Mutex<State>>);
 
 impl CallerConnection {
-    /// Takes the request that `hyper` has just read.
+    /// Takes the request that `hyper` has just read; those behind it are started after it.
     pub fn take_front(&self) -> Option<FrontRequest> {
-        self.lock().front.take()
+        let mut state = self.lock();
+        let front = state.front.take();
+        let waker = if state.ahead.is_empty() {
+            None
+        } else {
+            state.waker.take()
+        };
+        drop(state);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+        front
     }
 
     /// Records that the request's response was written or given up.
@@ -247,7 +258,7 @@
                 }
             }
         }
-        if !self.closing {
+        if !self.closing && self.front.is_none() {
             self.start_ahead();
         }
     }
