--- a/cuminspreadd/tests/edge/ahead.rs
+++ b/cuminspreadd/tests/edge/ahead.rs
@@ -385,6 +385,35 @@
     daemon.kill();
 }
 
+/// Large answers are passed on while they arrive. Once a route had one, its requests run in turn, so
+/// that an answer which breaks off or is read slowly concerns no other.
+#[tokio::test]
+async fn requests_with_large_answers_run_in_turn() {
+    let fixture = Fixture::new(3, route()).await;
+    let daemon = fixture.start_daemon().await;
+    let mut caller = Caller::connect(daemon.front()).await;
+    for (ids, side_by_side) in [(["a", "b"], true), (["c", "d"], false)] {
+        for server in &fixture.servers {
+            server.set_behaviour(Behaviour::Slow(SERVICE_MS));
+        }
+        let runs = fixture.runs();
+        caller.write(ids.map(text).concat().as_bytes()).await;
+        tokio::time::sleep(SERVICE / 2).await;
+        assert_eq!(fixture.runs() - runs == 2, side_by_side, "{ids:?}");
+        for id in ids {
+            let res = caller.read_response(false).await;
+            assert_eq!(res.text(), format!("answer to {id}"));
+        }
+        for server in &fixture.servers {
+            server.set_behaviour(Behaviour::Large(200));
+        }
+        caller.write(text("large").as_bytes()).await;
+        let res = caller.read_response(false).await;
+        assert_eq!((res.complete, res.body.len()), (true, 200 << 10));
+    }
+    daemon.kill();
+}
+
 /// Random requests in random parts, at servers that answer, fail, refuse and break off at random:
 /// answers keep their order and their owners, and a request that may run once does.
 #[tokio::test]
