caller_stream: a request that crosses the last answer doesn't cut it off

Cause: after a response with 'Connection: close' the daemon closed its socket. A request that the caller had sent before it read that response was then unread, or came to a closed socket; the system resets the connection in both cases and drops what it hasn't delivered. During a planned stop, a caller that reads slowly and sends ahead lost the rest of an answer.

Ruled out: a close without 'Connection: close' in the response in front, as the connection must end at some response.

Change: after a response that closes the connection the daemon closes its sending side, and discards what comes until the caller closes, for 0.5 s at most. Idle connections are closed as before. Nothing passes between daemons.

Test: a_request_that_crosses_the_last_answer_does_not_cut_it_off failed before (127,848 of 1,048,576 bytes arrived).

--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -25,12 +25,18 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 use super::ahead::{Start, StartedCall, Starter};
 
 /// Bytes read from the socket at a time while a request is served.
 const READ_BYTES: usize = 4096;
 
+/// Time for which a connection is read after a response that closes it. If requests that cross the
+/// response were left unread, the system would reset the connection, and the caller could lose the
+/// rest of the response.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Limits on what is read of a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamLimits {
@@ -301,6 +307,8 @@
 pub struct CallerStream {
     inner: TcpStream,
     connection: CallerConnection,
+    /// Ends the reading after the last response.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
@@ -321,7 +329,11 @@
             scan_ended: false,
             waker: None,
         })));
-        Self { inner, connection }
+        Self {
+            inner,
+            connection,
+            linger: None,
+        }
     }
 
     /// State that is shared with the connection's service and timers.
@@ -406,6 +418,24 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.inner).poll_shutdown(cx))?;
+            if !this.connection.lock().closing {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let linger = this.linger.get_or_insert_with(|| Box::pin(sleep(LINGER)));
+        if linger.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            let mut space = [const { MaybeUninit::uninit() }; READ_BYTES];
+            let mut unread = ReadBuf::uninit(&mut space);
+            ready!(Pin::new(&mut this.inner).poll_read(cx, &mut unread))?;
+            if unread.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
     }
 }
--- a/cuminspreadd/tests/edge/ahead.rs
+++ b/cuminspreadd/tests/edge/ahead.rs
@@ -385,6 +385,28 @@
     daemon.kill();
 }
 
+/// A request crosses an answer that closes the connection and of which the caller has read nothing.
+#[tokio::test]
+async fn a_request_that_crosses_the_last_answer_does_not_cut_it_off() {
+    const SIZE: usize = 1 << 20;
+    let fixture = Fixture::new(1, route()).await;
+    let daemon = fixture.start_daemon().await;
+    fixture.servers[0].set_behaviour(Behaviour::Large(SIZE >> 10));
+    let mut caller = Caller::connect(daemon.front()).await;
+    let stop = tokio::spawn(daemon.stop());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    caller.write(text("a").as_bytes()).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(caller.try_write(text("b").as_bytes()).await);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let res = caller.read_response(false).await;
+    assert_eq!(res.field("connection"), Some("close"));
+    assert_eq!((res.complete, res.body.len()), (true, SIZE));
+    assert_eq!(caller.read_response(false).await.status, 0);
+    assert!(stop.await.unwrap());
+    assert_eq!(fixture.runs(), 1);
+}
+
 /// Large answers are passed on while they arrive. Once a route had one, its requests run in turn, so
 /// that an answer which breaks off or is read slowly concerns no other.
 #[tokio::test]
