hedging: hedges within a limit that operators set

Cause: a hedge was taken from the retry budget alone and followed at 1.35 to 1.6 times the expected time, which one request in six exceeds. Operators had no limit of their own for extra work, and a small one would have been used up by requests that were nearly done.

Change: `bounds.hedge_ratio` is the share of a service's requests that may be hedged, over the whole fleet. `coordination::hedging` decides when: a daemon asks the server of a running attempt for its load up to three times and hedges if the server has slowed down and a fast one would be done earlier, or if the request takes longer than a multiple of its usual time that few exceed. A hedge goes only to a near server that was just probed as fast and free, that doesn't get nearly full and has asked for nothing; it never waits for one. None is sent while requests wait, within a second of a refusal, near the deadline, or for routes whose requests may run once. It is taken from the retry budget, too, and counts towards `max_attempts`. The attempt that lost is cancelled at once, if it was sent more than 30 ms ago. Each daemon earns hedges by its own requests from a random start and keeps each for 4 s. The settings refuse a `hedge_ratio` above `retry_ratio`. New metrics: `hedges`, by what became of them, and `attempt_seconds`, whose share of hedges is the extra work.

The outcome's log line moves out of `edge::call` to `edge::outcome_log`, and the hedges to `edge::hedge`. Without the setting the rule and its budget are as before; only `hedges=` in the log no longer counts a hedge that found no server.

No message is added, so an older daemon reads nothing new; it hedges within the retry budget alone.

Tests: `hedging` replays the load in virtual time. Fleets of 1, 16, 138 and 312 daemons keep the limit in any 10 s, give or take 1 and the root of their number. `edge` has a whole daemon that hedges by its limit, its route and the servers' room, and whose loser sees its connection close.

Not measured on a deployment yet.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -7,7 +7,7 @@
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`] and [`leaving`] for peers and servers with [`placement`], [`wait_queue`],
 //! [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`],
-//! [`forwarding`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
+//! [`forwarding`], [`hedging`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
@@ -18,6 +18,7 @@
 pub mod dispatch;
 pub mod event;
 pub mod forwarding;
+pub mod hedging;
 pub mod hold_off;
 pub mod leaving;
 pub mod limits;
--- a/cuminspread/src/coordination/placement/server_state.rs
+++ b/cuminspread/src/coordination/placement/server_state.rs
@@ -420,6 +420,11 @@
         }
     }
 
+    /// Whether the server has a free slot, as far as is known.
+    pub fn has_free_slot(&self, now: Mono, settings: &PlacementSettings) -> bool {
+        self.free_slots(now, settings) > 0
+    }
+
     /// Whether one more request makes the server nearly full.
     fn is_nearly_full(&self, now: Mono, settings: &PlacementSettings) -> bool {
         let used_fraction = self.utilisation(now, settings) + 1.0 / self.slots as f32;
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -4,15 +4,14 @@
 //! cancelled, unless it isn't idempotent and a server may already have it: cancelling it then could
 //! leave an order half done.
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use cuminspread::coordination::hedging::HedgeCause;
 use cuminspread::coordination::placement::{AttemptEnd, PlacementContext};
 use cuminspread::coordination::refusal::{self, RefusalReason, ServiceState};
-use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread_platform::headers::ResponseFields;
 use futures_util::StreamExt as _;
@@ -20,49 +19,23 @@
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{sleep_until, timeout, timeout_at};
 
 use super::attempt::{AttemptResult, BROKEN, send};
 use super::crash;
 use super::forward::forward;
-use super::placement::{Target, place};
+use super::hedge::{self, Withdrawn};
+use super::outcome_log::{History, log_outcome};
+use super::placement::{Purpose, Target, place};
 use super::request::{InboundRequest, Origin, Reply};
-use super::state::{Edge, LimitSource, MOVED_SERVER_PAUSE, ServerKey};
+use super::state::{Edge, LimitSource, MOVED_SERVER_PAUSE};
 
 /// Attempts of one request, including those that are proven not to have run, which the route's
 /// `max_attempts` doesn't count.
 const MAX_ATTEMPTS: u32 = 5;
-/// Longest time until a hedge, as a multiple of the expected time of the attempt.
-const MAX_HEDGE_DELAY_FACTOR: f32 = 1.6;
-/// Shortest time until a hedge, as a multiple of the same time; one response in six takes longer.
-const MIN_HEDGE_DELAY_FACTOR: f32 = 1.35;
 /// Time for which attempts that lost a race or whose caller has left may still be answered: a server
 /// that refuses a request does so at once, and may ask for something in its answer.
 const LATE_ANSWER_TIME: Duration = Duration::from_millis(30);
-/// Time reserved for the second server, as a multiple of the usual processing time.
-const HEDGE_PROCESSING_FACTOR: f32 = 1.2;
-
-/// Attempts of a request so far.
-#[derive(Debug, Default)]
-struct History {
-    tried: Vec<ServerKey>,
-    /// Attempts that may have run the request.
-    possible_runs: u32,
-    attempts: u32,
-    probes: u32,
-    hedges: u32,
-    /// Server of the last attempt, for the log.
-    server: Name,
-    /// Whether that server is in the own data centre.
-    near: bool,
-    /// Last peer that the request was offered to.
-    peer: Option<SocketAddr>,
-    /// Time until the first attempt.
-    waited: Option<Duration>,
-    /// Slowness that the last server reported, and the age of that report.
-    slowness: f32,
-    report_age: Duration,
-}
 
 /// A running attempt; when dropped, it records its end unless that was recorded before.
 struct Attempt<'a> {
@@ -73,6 +46,7 @@
     id: u64,
     sent_at: Mono,
     time_left: Duration,
+    is_hedge: bool,
     ended: bool,
     /// Set when the request has its reply.
     replied: &'a AtomicBool,
@@ -84,6 +58,7 @@
             return;
         }
         let (edge, now) = (self.edge, self.edge.now());
+        hedge::record_end(edge, self.req, &self.target.cx, end, self.is_hedge);
         let mut servers = edge.servers();
         let route = &self.req.route;
         servers.record_end(now, self.target.key, self.id, end, route, edge.placement());
@@ -141,13 +116,18 @@
         // Fails only if the caller has just closed the connection.
         let _ = tx.send(reply);
     }
+    let mut late_for = LATE_ANSWER_TIME;
+    if edge.edge_settings.hedge_ratio.is_some() {
+        // A server that runs a request for longer than that doesn't refuse it any more.
+        late_for = late_for.saturating_sub(edge.now().since(history.last_sent));
+    }
     let late_answers = async {
         while let Some((mut attempt, result)) = attempts.next().await {
             handle_result(&mut attempt, result, &mut history);
         }
     };
     // What isn't answered by then is cancelled.
-    let _ = timeout(LATE_ANSWER_TIME, late_answers).await;
+    let _ = timeout(late_for, late_answers).await;
 }
 
 async fn serve<'a>(
@@ -172,13 +152,14 @@
         };
     }
     edge.servers()
-        .deposit_retry(&req.service, &edge.edge_settings);
+        .record_request(edge.now(), &req.service, &edge.edge_settings);
     let mut fallback = None;
-    let mut hedge_at: Option<Instant> = None;
-    let mut placement = pin!(OptionFuture::from(Some(place(edge, req, Vec::new()))));
+    let mut hedge = pin!(OptionFuture::from(None));
+    let mut withdrawn: Option<Withdrawn> = None;
+    let first = place(edge, req, Vec::new(), Purpose::Attempt);
+    let mut placement = pin!(OptionFuture::from(Some(first)));
     let respond_by = edge.instant(req.respond_by);
     loop {
-        let hedge_timer = OptionFuture::from(hedge_at.map(sleep_until));
         tokio::select! {
             biased;
             Some((placed, probes)) = &mut placement => {
@@ -187,11 +168,18 @@
                 match placed {
                     Ok(target) => {
                         committed.store(true, Ordering::Relaxed);
-                        let attempt = start_attempt(edge, req, target, replied, history);
-                        hedge_at = hedge_time(req, &attempt);
+                        let is_hedge = withdrawn.take().is_some();
+                        let attempt =
+                            start_attempt(edge, req, target, is_hedge, replied, history);
+                        let (key, cx) = (attempt.target.key, attempt.target.cx);
+                        hedge.set(OptionFuture::from(Some(hedge::due(edge, req, key, cx))));
                         attempts.push(Box::pin(run_attempt(attempt)));
                     }
-                    Err(_) if !attempts.is_empty() => {}
+                    Err(_) if !attempts.is_empty() => {
+                        if let Some(withdrawn) = withdrawn.take() {
+                            hedge::refund(edge, req, withdrawn);
+                        }
+                    }
                     Err(RefusalReason::NoServer)
                         if req.origin == Origin::Caller
                             && history.possible_runs == 0
@@ -208,6 +196,9 @@
                 let (detail, received) = match handle_result(&mut attempt, result, history) {
                     NextStep::Reply(reply) => {
                         replied.store(true, Ordering::Relaxed);
+                        if attempt.is_hedge {
+                            hedge::count(edge, req, "won");
+                        }
                         return reply;
                     }
                     NextStep::Retry { detail, received, response } => {
@@ -220,25 +211,21 @@
                 let (id, server) = (&req.outbound.id, &history.server);
                 log::info!("event=send_ended id={id} server={server} cause={detail} again={retry}");
                 if retry {
-                    hedge_at = None;
+                    hedge.set(OptionFuture::from(None));
+                    withdrawn = None;
                     placement.set(OptionFuture::from(Some(
-                        place(edge, req, history.tried.clone()),
+                        place(edge, req, history.tried.clone(), Purpose::Attempt),
                     )));
                 } else if attempts.is_empty() {
                     return final_reply(edge, req, history, fallback, RefusalReason::NoRoom, detail);
                 }
             }
-            Some(()) = hedge_timer, if attempts.len() == 1 => {
-                hedge_at = None;
-                // A hedge must not take the slot of a waiting request.
-                let queued = !edge.servers().queue(&req.service).order.is_empty();
-                if !queued && may_retry(edge, req, history, true) {
-                    history.hedges += 1;
-                    let after = edge.now().since(req.arrived).as_micros();
-                    let (id, server) = (&req.outbound.id, &history.server);
-                    log::info!("event=hedged id={id} silent={server} after_us={after}");
+            Some(due) = &mut hedge, if attempts.len() == 1 => {
+                hedge.set(OptionFuture::from(None));
+                withdrawn = due.and_then(|cause| begin_hedge(edge, req, history, cause));
+                if let Some(withdrawn) = withdrawn {
                     placement.set(OptionFuture::from(Some(
-                        place(edge, req, history.tried.clone()),
+                        place(edge, req, history.tried.clone(), withdrawn.purpose()),
                     )));
                 }
             }
@@ -249,6 +236,20 @@
     }
 }
 
+/// Takes a hedge out of the budgets and logs why it is wanted.
+fn begin_hedge(
+    edge: &Edge,
+    req: &InboundRequest,
+    history: &History,
+    cause: HedgeCause,
+) -> Option<Withdrawn> {
+    let withdrawn = hedge::withdraw(edge, req, || may_retry(edge, req, history, true))?;
+    let (id, server, cause) = (&req.outbound.id, &history.server, cause.label());
+    let after = edge.now().since(req.arrived).as_micros();
+    log::info!("event=hedged id={id} silent={server} cause={cause} after_us={after}");
+    Some(withdrawn)
+}
+
 /// Offers a request to peers, since this daemon has no server for it.
 async fn forward_or_refuse(
     edge: &Edge,
@@ -273,6 +274,7 @@
     edge: &'a Arc<Edge>,
     req: &'a InboundRequest,
     target: Target,
+    is_hedge: bool,
     replied: &'a AtomicBool,
     history: &mut History,
 ) -> Attempt<'a> {
@@ -305,6 +307,11 @@
     );
     history.tried.push(target.key);
     history.attempts += 1;
+    if is_hedge {
+        history.hedges += 1;
+        hedge::count(edge, req, "sent");
+    }
+    history.last_sent = now;
     history.possible_runs += 1;
     history.waited.get_or_insert(now.since(req.arrived));
     Attempt {
@@ -314,6 +321,7 @@
         sent_at: now,
         time_left: req.deadline.since(now),
         target,
+        is_hedge,
         ended: false,
         replied,
     }
@@ -330,30 +338,6 @@
     (attempt, result)
 }
 
-/// Time at which a request without a response is hedged; `None` if it may run only once or the
-/// server is gone.
-fn hedge_time(req: &InboundRequest, attempt: &Attempt<'_>) -> Option<Instant> {
-    if !req.route.idempotent || req.route.max_attempts < 2 {
-        return None;
-    }
-    let cx = &attempt.target.cx;
-    let mut servers = attempt.edge.servers();
-    let server = servers.get_mut(attempt.target.key)?;
-    let expected = server
-        .state
-        .expected_time(cx, attempt.edge.placement())
-        .max(cx.processing_time);
-    // Leaves the second server enough time to meet the latency target.
-    let latest = cx
-        .target_left
-        .saturating_sub(cx.processing_time.mul_f32(HEDGE_PROCESSING_FACTOR));
-    let delay = latest.clamp(
-        expected.mul_f32(MIN_HEDGE_DELAY_FACTOR),
-        expected.mul_f32(MAX_HEDGE_DELAY_FACTOR),
-    );
-    Some(attempt.edge.instant(cx.now + delay))
-}
-
 /// What follows from the end of an attempt.
 enum NextStep {
     Reply(Reply),
@@ -399,9 +383,9 @@
         AttemptResult::NotRun(detail, fields) => {
             history.possible_runs -= 1;
             if let Some(fields) = &fields {
-                if fields.misdirected
-                    && let Some(server) = attempt.edge.servers().get_mut(attempt.target.key)
-                {
+                if !fields.misdirected {
+                    hedge::record_refusal(attempt.edge, attempt.req);
+                } else if let Some(server) = attempt.edge.servers().get_mut(attempt.target.key) {
                     server.moved_until = attempt.edge.now() + MOVED_SERVER_PAUSE;
                 }
                 record_state(attempt, fields);
@@ -506,53 +490,3 @@
     };
     Reply::Failed { status, detail }
 }
-
-fn log_outcome(edge: &Edge, req: &InboundRequest, history: &History, reply: Option<&Reply>) {
-    let took = edge.now().since(req.arrived);
-    let (outcome, status, detail, last) = match reply {
-        Some(Reply::Buffered(head, _) | Reply::Streaming(head, ..)) => {
-            let outcome = if head.status.is_success() {
-                "served"
-            } else {
-                "passed_on"
-            };
-            (outcome, head.status, "answer", "answer")
-        }
-        Some(Reply::Refused { reason, detail, .. }) => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            ("refused", status, reason.label(), *detail)
-        }
-        Some(Reply::Failed { status, detail }) => ("failed", *status, *detail, *detail),
-        None => ("caller_left", StatusCode::OK, "caller_left", "caller_left"),
-    };
-    let peer = history.peer.map(|p| p.to_string()).unwrap_or_default();
-    edge.metrics.count_request(&req.service, outcome, detail);
-    edge.metrics.observe(&req.service, took);
-    let level = match outcome {
-        "served" | "caller_left" => log::Level::Info,
-        _ => log::Level::Warn,
-    };
-    log::log!(
-        level,
-        "event=request id={} route={} version={} from={} service={} server={} near={} peer={} \
-         outcome={outcome} status={} detail={detail} last={last} sends={} runs={} hedges={} looks={} waited_us={} \
-         took_us={} slowness={:.2} report_age_us={}",
-        req.outbound.id,
-        req.route.name,
-        req.version,
-        req.origin.label(),
-        req.service,
-        history.server,
-        history.near,
-        peer,
-        status.as_u16(),
-        history.attempts,
-        history.possible_runs,
-        history.hedges,
-        history.probes,
-        history.waited.unwrap_or_default().as_micros(),
-        took.as_micros(),
-        history.slowness,
-        history.report_age.as_micros(),
-    );
-}
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -47,6 +47,20 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct HedgeLabels {
+    service: Label,
+    result: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct AttemptLabels {
+    service: Label,
+    kind: &'static str,
+}
+
 type NewHistogram = fn() -> Histogram;
 
 /// Metrics of one daemon.
@@ -56,6 +70,8 @@
     latency: Family<ServiceLabels, Histogram, NewHistogram>,
     probes: Family<ResultLabels, Counter>,
     forwarded: Family<ForwardLabels, Counter>,
+    hedges: Family<HedgeLabels, Counter>,
+    attempt_time: Family<AttemptLabels, Counter<f64, AtomicU64>>,
     store_reads: Family<ResultLabels, Counter>,
     /// Values that are set just before the metrics are written.
     pub gauges: Gauges,
@@ -102,6 +118,8 @@
         let latency = Family::new_with_constructor(new_histogram);
         let probes = Family::<ResultLabels, Counter>::default();
         let forwarded = Family::<ForwardLabels, Counter>::default();
+        let hedges = Family::<HedgeLabels, Counter>::default();
+        let attempt_time = Family::<AttemptLabels, Counter<f64, AtomicU64>>::default();
         let store_reads = Family::<ResultLabels, Counter>::default();
         let gauges = Gauges::default();
         let r = &mut registry;
@@ -110,6 +128,13 @@
         r.register_with_unit("request", help, Unit::Seconds, latency.clone());
         r.register("looks", "Questions for a server's load", probes.clone());
         r.register("forwarded", "Requests offered to peers", forwarded.clone());
+        r.register("hedges", "Hedges by result", hedges.clone());
+        r.register_with_unit(
+            "attempt",
+            "Time from the sends of attempts to their ends",
+            Unit::Seconds,
+            attempt_time.clone(),
+        );
         r.register(
             "store_reads",
             "Reads of the platform's store",
@@ -178,6 +203,8 @@
             latency,
             probes,
             forwarded,
+            hedges,
+            attempt_time,
             store_reads,
             gauges,
         }
@@ -214,6 +241,25 @@
         self.forwarded.get_or_create(&labels).inc();
     }
 
+    /// Counts a hedge by its result.
+    pub fn count_hedge(&self, service: &Name, result: &'static str) {
+        let service = Label(service.clone());
+        self.hedges
+            .get_or_create(&HedgeLabels { service, result })
+            .inc();
+    }
+
+    /// Records how long an attempt took, which may be a hedge.
+    pub fn observe_attempt(&self, service: &Name, is_hedge: bool, time: Duration) {
+        let labels = AttemptLabels {
+            service: Label(service.clone()),
+            kind: if is_hedge { "hedge" } else { "other" },
+        };
+        self.attempt_time
+            .get_or_create(&labels)
+            .inc_by(time.as_secs_f64());
+    }
+
     /// Counts a read of the store.
     pub fn count_read(&self, result: &'static str) {
         self.store_reads
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::hedge::suits_hedge;
 use super::probe::{ProbeResult, probe};
 use super::request::InboundRequest;
 use super::state::{Edge, ServerKey, ServerTable};
@@ -49,11 +50,21 @@
     pub cx: PlacementContext,
 }
 
+/// What a server is chosen for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// An attempt that the request needs.
+    Attempt,
+    /// A second attempt beside one that runs, only if a near server is fast and free now.
+    Hedge,
+}
+
 /// Chooses a server that isn't in `tried`; also returns the number of probes.
 pub async fn place(
     edge: &Arc<Edge>,
     req: &InboundRequest,
     tried: Vec<ServerKey>,
+    purpose: Purpose,
 ) -> (Result<Target, RefusalReason>, u32) {
     let began = edge.now();
     let settings = edge.placement();
@@ -61,6 +72,9 @@
     let mut probe_count = 0;
     let mut position = QueuePosition::new(edge, req);
     loop {
+        if purpose == Purpose::Hedge && !edge.servers().queue(&req.service).order.is_empty() {
+            return (Err(RefusalReason::NoRoom), probe_count);
+        }
         if let Err(reason) = position.wait().await {
             return (Err(reason), probe_count);
         }
@@ -71,6 +85,9 @@
             return (Err(candidates.refusal()), probe_count);
         }
         if candidates.is_empty() && probed.is_empty() {
+            if purpose == Purpose::Hedge {
+                return (Err(candidates.refusal()), probe_count);
+            }
             match (candidates.held_off, candidates.next_send) {
                 (Some(_), Some(next)) if position.can_wait_until(next) => {
                     position.pause_until(next);
@@ -102,6 +119,9 @@
             let servers = edge.servers();
             placement::decide(servers.states(&probed), &cx, progress, settings)
         };
+        if purpose == Purpose::Hedge && !suits_hedge(edge, step, &cx, probe_count) {
+            return (Err(RefusalReason::NoRoom), probe_count);
+        }
         let (from, count) = match step {
             Step::Send(key) => {
                 let mut servers = edge.servers();
@@ -129,6 +149,9 @@
             probed.extend(keys);
             continue;
         }
+        if allowed == 0 && purpose == Purpose::Hedge {
+            return (Err(RefusalReason::NoRoom), probe_count);
+        }
         if allowed == 0 {
             // Until probes are allowed again, responses to other requests report free slots.
             position.pause();
--- a/cuminspreadd/src/edge/settings.rs
+++ b/cuminspreadd/src/edge/settings.rs
@@ -30,6 +30,9 @@
     pub retry_ratio: f32,
     /// Retries beyond `retry_ratio` that all daemons together may send in one window.
     pub retry_slack: f32,
+    /// Most hedges that all daemons together send to a service, as a fraction of its requests; `None`
+    /// for a hedge whenever a response is late and the retry budget allows it.
+    pub hedge_ratio: Option<f32>,
     /// Most probes a second that a server gets from all daemons together.
     pub probes_per_s: f32,
     /// When this daemon reads the store.
@@ -53,6 +56,7 @@
             grace: Duration::from_secs(6),
             retry_ratio: 0.2,
             retry_slack: 64.0,
+            hedge_ratio: None,
             probes_per_s: 40.0,
             reader: ReaderSettings::default(),
             mesh: MeshSettings::default(),
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -14,6 +14,7 @@
 
 use cuminspread::coordination::catalog::ServerEntry;
 use cuminspread::coordination::decaying_rate::DecayingRate;
+use cuminspread::coordination::hedging::Hedging;
 use cuminspread::coordination::hold_off::HoldOff;
 use cuminspread::coordination::placement::{
     AttemptEnd, LoadSlowdown, PlacementContext, PlacementSettings, ServerLoad, ServerState,
@@ -86,6 +87,8 @@
     next_attempt: u64,
     processing_times: HashMap<Name, f32>,
     retry_budgets: HashMap<Name, TokenBucket>,
+    /// Hedges that this daemon may send; `None` without a limit on them.
+    pub hedging: Option<Hedging>,
     round_robins: HashMap<Name, WeightedRoundRobin>,
     daemons: usize,
     queues: HashMap<Name, ServiceQueue>,
@@ -166,6 +169,7 @@
         } else {
             settings.seed
         };
+        let hedge_ratio = edge_settings.hedge_ratio;
         Arc::new(Self {
             edge_settings,
             metrics: EdgeMetrics::new(),
@@ -175,7 +179,7 @@
             table: RwLock::default(),
             active_since: AtomicU64::new(0),
             previous: Mutex::default(),
-            servers: Mutex::new(ServerTable::new(seed)),
+            servers: Mutex::new(ServerTable::new(seed, hedge_ratio)),
             crashes: Mutex::default(),
             forward_pool: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -349,7 +353,7 @@
 }
 
 impl ServerTable {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, hedge_ratio: Option<f32>) -> Self {
         Self {
             servers: HashMap::new(),
             keys: HashMap::new(),
@@ -358,6 +362,7 @@
             next_attempt: 0,
             processing_times: HashMap::new(),
             retry_budgets: HashMap::new(),
+            hedging: hedge_ratio.map(Hedging::new),
             round_robins: HashMap::new(),
             daemons: 1,
             queues: HashMap::new(),
--- a/cuminspreadd/src/edge/state/shares.rs
+++ b/cuminspreadd/src/edge/state/shares.rs
@@ -1,4 +1,4 @@
-//! This daemon's parts of what all daemons share: servers' connections, probes and retries.
+//! This daemon's parts of what all daemons share: servers' connections, probes, retries and hedges.
 
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use cuminspread::state::Name;
 use cuminspread::state::routing::RouteTable;
 use cuminspread::state::time::Mono;
+use rand::RngExt as _;
 
 use super::{ServerKey, ServerTable};
 use crate::edge::settings::EdgeSettings;
@@ -121,9 +122,18 @@
         settings.probes_per_s * self.servers.len() as f32 / self.daemons as f32
     }
 
-    /// Adds a fraction of a retry to the budget of a service, for a request that arrived.
-    pub fn deposit_retry(&mut self, service: &Name, settings: &EdgeSettings) {
+    /// Adds fractions of a retry and of a hedge to the budgets of a service, for a request that
+    /// arrived.
+    pub fn record_request(&mut self, now: Mono, service: &Name, settings: &EdgeSettings) {
         self.retry_budget(service, settings).deposit();
+        if let Some(hedging) = &mut self.hedging {
+            hedging.record_request(now, service, self.rng.random());
+        }
+    }
+
+    /// Returns one retry that was not sent to this daemon's budget for a service.
+    pub fn refund_retry(&mut self, service: &Name, settings: &EdgeSettings) {
+        self.retry_budget(service, settings).refund();
     }
 
     /// Takes one retry out of this daemon's budget for a service; false if the budget is spent.
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -6,7 +6,7 @@
 //! | `listen` | `front`, `admin`, `peer`, `readiness`, `forward` |
 //! | `platform` | `url` |
 //! | `store` | `address` |
-//! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `looks_per_s` |
+//! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `hedge_ratio`, `looks_per_s` |
 //! | `peers` | `key`, `previous_key`, `seeds`, `first_start`, `core_share` |
 //! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered` |
 //! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `source` |
@@ -184,6 +184,7 @@
             ("bounds", "grace_s") => edge(s).grace = seconds(value)?,
             ("bounds", "retry_ratio") => edge(s).retry_ratio = fraction(value)?,
             ("bounds", "retry_slack") => edge(s).retry_slack = amount(value)?,
+            ("bounds", "hedge_ratio") => edge(s).hedge_ratio = Some(fraction(value)?),
             ("platform", "url") => s.platform = url(value)?,
             ("peers", "key") => s.peer_keys.insert(0, secret(value)?),
             ("peers", "previous_key") => s.peer_keys.push(secret(value)?),
@@ -260,6 +261,18 @@
                 }
             }
         }
+        if let Some(edge) = &self.settings.edge
+            && edge.hedge_ratio.is_some_and(|r| r > edge.retry_ratio)
+        {
+            let key_path = ("bounds".to_owned(), "hedge_ratio".to_owned());
+            let line = self.seen.get(&key_path).copied().unwrap_or_default();
+            let problem = format!(
+                "is above retry_ratio, {}, which binds hedges, too",
+                edge.retry_ratio
+            );
+            "bounds".clone_into(&mut self.section);
+            self.fault(line, "hedge_ratio", problem);
+        }
         if self.faults.is_empty() {
             Ok(self.settings)
         } else {
@@ -307,7 +320,7 @@
         "daemon" => "name, data_centre, workers, seed, stop_bound_ms, max_depth",
         "listen" => "front, admin, peer, readiness, forward",
         "store" => "address",
-        "bounds" => "grace_s, retry_ratio, retry_slack, looks_per_s",
+        "bounds" => "grace_s, retry_ratio, retry_slack, hedge_ratio, looks_per_s",
         "platform" => "url",
         "peers" => "key, previous_key, seeds, first_start, core_share",
         "callers" => {
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -12,6 +12,8 @@
 mod fixture;
 #[path = "edge/forwarding.rs"]
 mod forwarding;
+#[path = "edge/hedging.rs"]
+mod hedging;
 #[path = "edge/leaving.rs"]
 mod leaving;
 #[path = "edge/pause.rs"]
--- a/cuminspreadd/tests/edge/program.rs
+++ b/cuminspreadd/tests/edge/program.rs
@@ -20,7 +20,7 @@
     format!(
         "[daemon]\nname = vm-1\ndata_centre = here\n\n[listen]\nfront = 127.0.0.1:{front}\n\n\
          [store]\naddress = {}\n\n[peers]\nseeds =\nfirst_start = false\n\n\
-         [bounds]\ngrace_s = 6\nretry_ratio = 0.2\nretry_slack = 64.5\nlooks_per_s = 60\n",
+         [bounds]\ngrace_s = 6\nretry_ratio = 0.2\nretry_slack = 64.5\nhedge_ratio = 0.05\nlooks_per_s = 60\n",
         fixture.store.address()
     )
 }
@@ -48,6 +48,14 @@
             line: "[bounds]\nretry_slack = many",
             fault: "vm.ini:2: [bounds] retry_slack:",
         },
+        Case {
+            line: "[bounds]\nhedge_ratio = 5%",
+            fault: "vm.ini:2: [bounds] hedge_ratio:",
+        },
+        Case {
+            line: "[bounds]\nretry_ratio = 0.04\nhedge_ratio = 0.05",
+            fault: "vm.ini:3: [bounds] hedge_ratio: is above retry_ratio",
+        },
         Case {
             line: "[peers]\nfirst_start = maybe",
             fault: "vm.ini:2: [peers] first_start:",
