--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -6,8 +6,9 @@
 //!
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`], [`evacuation`] and [`leaving`] for peers and servers with [`placement`],
-//! [`wait_queue`], [`probe_limiter`], [`weighted_round_robin`], [`hold_off`], [`reachability`],
-//! [`forwarding`], [`read_ahead`] and [`refusal`] for requests. [`crash`] and [`retry`] serve both.
+//! [`wait_queue`], [`hedging`], [`probe_limiter`], [`weighted_round_robin`], [`hold_off`],
+//! [`cold_server`], [`reachability`], [`forwarding`], [`read_ahead`] and [`refusal`] for requests.
+//! [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
 pub mod backoff;
@@ -20,6 +21,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod forwarding;
+pub mod hedging;
 pub mod hold_off;
 pub mod leaving;
 pub mod limits;
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -47,6 +47,20 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct HedgeLabels {
+    service: Label,
+    result: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct AttemptLabels {
+    service: Label,
+    kind: &'static str,
+}
+
 type NewHistogram = fn() -> Histogram;
 
 /// Metrics of one daemon.
@@ -56,6 +70,8 @@
     latency: Family<ServiceLabels, Histogram, NewHistogram>,
     probes: Family<ResultLabels, Counter>,
     forwarded: Family<ForwardLabels, Counter>,
+    hedges: Family<HedgeLabels, Counter>,
+    attempt_time: Family<AttemptLabels, Counter<f64, AtomicU64>>,
     store_reads: Family<ResultLabels, Counter>,
     started_ahead: Counter,
     /// Values that are set just before the metrics are written.
@@ -97,108 +113,121 @@
     pub emptied: Gauge,
 }
 
-impl EdgeMetrics {
-    /// Creates and registers all metrics.
-    pub fn new() -> Self {
-        let mut registry = Registry::with_prefix("cumin");
-        let new_histogram: NewHistogram =
-            || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT));
-        let requests = Family::<RequestLabels, Counter>::default();
-        let latency = Family::new_with_constructor(new_histogram);
-        let probes = Family::<ResultLabels, Counter>::default();
-        let forwarded = Family::<ForwardLabels, Counter>::default();
-        let store_reads = Family::<ResultLabels, Counter>::default();
-        let started_ahead = Counter::default();
-        let gauges = Gauges::default();
-        let r = &mut registry;
-        r.register("requests", "Requests by outcome", requests.clone());
-        let help = "Time from arrival to the final answer";
-        r.register_with_unit("request", help, Unit::Seconds, latency.clone());
-        r.register("looks", "Questions for a server's load", probes.clone());
-        r.register("forwarded", "Requests offered to peers", forwarded.clone());
-        r.register(
-            "store_reads",
-            "Reads of the platform's store",
-            store_reads.clone(),
-        );
-        r.register(
-            "started_ahead",
-            "Requests started before those in front on their connections were answered",
-            started_ahead.clone(),
-        );
+impl Gauges {
+    fn register(&self, r: &mut Registry) {
         r.register(
             "in_flight",
             "Requests that haven't ended",
-            gauges.in_flight.clone(),
+            self.in_flight.clone(),
         );
-        r.register("config_version", "Version in force", gauges.version.clone());
+        r.register("config_version", "Version in force", self.version.clone());
         r.register(
             "config_known_version",
             "Newest version that any daemon is known to have",
-            gauges.known_version.clone(),
+            self.known_version.clone(),
         );
         r.register(
             "registry_era",
             "Times that the store came back from an older copy, plus its first era",
-            gauges.era.clone(),
+            self.era.clone(),
         );
         r.register(
             "registry_revision",
             "Revision of the registry",
-            gauges.revision.clone(),
-        );
-        r.register("daemons", "Daemons heard lately", gauges.daemons.clone());
-        r.register(
-            "peer_sent_bytes",
-            "Bytes sent to peers",
-            gauges.sent.clone(),
+            self.revision.clone(),
         );
+        r.register("daemons", "Daemons heard lately", self.daemons.clone());
+        r.register("peer_sent_bytes", "Bytes sent to peers", self.sent.clone());
         r.register(
             "peer_received_bytes",
             "Bytes received from peers",
-            gauges.received.clone(),
+            self.received.clone(),
         );
         r.register(
             "log_lines_dropped",
             "Log lines dropped",
-            gauges.lines_dropped.clone(),
+            self.lines_dropped.clone(),
         );
         r.register(
             "server_connections",
             "Connections opened",
-            gauges.connections.clone(),
+            self.connections.clone(),
         );
         r.register(
             "servers_limited",
             "Servers that name a limit on their requests",
-            gauges.limited.clone(),
+            self.limited.clone(),
         );
         r.register(
             "servers_cold",
             "Servers that are cold and bear few requests",
-            gauges.cold.clone(),
+            self.cold.clone(),
         );
         r.register(
             "servers_paused",
             "Servers that want nothing of this daemon for a time",
-            gauges.paused.clone(),
+            self.paused.clone(),
         );
         r.register(
             "services_lost",
             "Services of which this daemon reaches no server",
-            gauges.lost.clone(),
+            self.lost.clone(),
         );
         r.register(
             "data_centres_emptied",
             "Data centres whose servers get nothing",
-            gauges.emptied.clone(),
+            self.emptied.clone(),
         );
+    }
+}
+
+impl EdgeMetrics {
+    /// Creates and registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("cumin");
+        let new_histogram: NewHistogram =
+            || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT));
+        let requests = Family::<RequestLabels, Counter>::default();
+        let latency = Family::new_with_constructor(new_histogram);
+        let probes = Family::<ResultLabels, Counter>::default();
+        let forwarded = Family::<ForwardLabels, Counter>::default();
+        let hedges = Family::<HedgeLabels, Counter>::default();
+        let attempt_time = Family::<AttemptLabels, Counter<f64, AtomicU64>>::default();
+        let store_reads = Family::<ResultLabels, Counter>::default();
+        let started_ahead = Counter::default();
+        let gauges = Gauges::default();
+        let r = &mut registry;
+        r.register("requests", "Requests by outcome", requests.clone());
+        let help = "Time from arrival to the final answer";
+        r.register_with_unit("request", help, Unit::Seconds, latency.clone());
+        r.register("looks", "Questions for a server's load", probes.clone());
+        r.register("forwarded", "Requests offered to peers", forwarded.clone());
+        r.register("hedges", "Hedges by result", hedges.clone());
+        r.register_with_unit(
+            "attempt",
+            "Time from the sends of attempts to their ends",
+            Unit::Seconds,
+            attempt_time.clone(),
+        );
+        r.register(
+            "store_reads",
+            "Reads of the platform's store",
+            store_reads.clone(),
+        );
+        r.register(
+            "started_ahead",
+            "Requests started before those in front on their connections were answered",
+            started_ahead.clone(),
+        );
+        gauges.register(r);
         Self {
             registry,
             requests,
             latency,
             probes,
             forwarded,
+            hedges,
+            attempt_time,
             store_reads,
             started_ahead,
             gauges,
@@ -236,6 +265,25 @@
         self.forwarded.get_or_create(&labels).inc();
     }
 
+    /// Counts a hedge by its result.
+    pub fn count_hedge(&self, service: &Name, result: &'static str) {
+        let service = Label(service.clone());
+        self.hedges
+            .get_or_create(&HedgeLabels { service, result })
+            .inc();
+    }
+
+    /// Records how long an attempt took, which may be a hedge.
+    pub fn observe_attempt(&self, service: &Name, is_hedge: bool, time: Duration) {
+        let labels = AttemptLabels {
+            service: Label(service.clone()),
+            kind: if is_hedge { "hedge" } else { "other" },
+        };
+        self.attempt_time
+            .get_or_create(&labels)
+            .inc_by(time.as_secs_f64());
+    }
+
     /// Counts a read of the store.
     pub fn count_read(&self, result: &'static str) {
         self.store_reads
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -18,6 +18,8 @@
 mod fixture;
 #[path = "edge/forwarding.rs"]
 mod forwarding;
+#[path = "edge/hedging.rs"]
+mod hedging;
 #[path = "edge/leaving.rs"]
 mod leaving;
 #[path = "edge/pause.rs"]
