placement: only servers that have answered and have room, and a bounded round of probes; declined requests come back at once

Load patterns: more requests than fast free slots for some seconds, at servers that drop a request without an answer when their queue is full; servers that turn half of all requests away though they have room.

Cause: a late request that had found no room went to the best server probed, also to one that had not answered its probe or at which others waited. Of 120 requests without an answer in five seconds of a burst 86 had been sent to a server of which nothing was known. While all near servers were full, each round probed all of them, so that the probes allowed were used up, and far servers were asked only after the last near one. A request turned away by a server with free slots was refused with the Retry-After of an overload.

Ruled out: never sending to a server without a free slot.

Change: a server is chosen only with a recent report and at most one request waiting; eight near and eight far servers at most are probed in a round; the wait for near servers is a quarter of the time left at most; servers outside of the subset are probed as readily while requests wait. RefusalReason::Declined: 5 to 15 ms.

An older daemon is not affected: no message changes.

--- a/cuminspread/src/coordination/placement.rs
+++ b/cuminspread/src/coordination/placement.rs
@@ -75,7 +75,8 @@
     // choice over both.
     let scored = candidates.map(|(i, server)| {
         let noise: f32 = rng.random_range(0.0..0.3);
-        let bonus = if server.in_subset {
+        // While requests wait, the subset has no room; any other server may have some.
+        let bonus = if server.in_subset && !cx.contended {
             settings.subset_bonus
         } else {
             0.0
@@ -112,10 +113,24 @@
     {
         return Step::Send(limited.index);
     }
-    let scored = probed.map(|(i, s)| (s.score(cx, settings), i));
+    let (mut near_probed, mut far_probed) = (0, 0);
+    // A server that hasn't answered its probe may be full, and drop the request without an answer.
+    let scored = probed.filter_map(|(i, s)| {
+        let count = if s.near {
+            &mut near_probed
+        } else {
+            &mut far_probed
+        };
+        *count += 1;
+        let score = s.score(cx, settings);
+        s.is_reported(cx, settings).then_some((score, i))
+    });
     let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
     // After `near_wait` a far server is accepted as readily as a near one.
-    let near_only = progress.waited < settings.near_wait;
+    let near_wait = settings
+        .near_wait
+        .min(cx.target_left.mul_f32(settings.max_near_wait_fraction));
+    let near_only = progress.waited < near_wait;
     let fraction = if near_only {
         1.0
     } else {
@@ -126,7 +141,7 @@
     {
         return Step::Send(i);
     }
-    if progress.near_unprobed > 0 {
+    if progress.near_unprobed > 0 && near_probed < settings.max_probed {
         return Step::ProbeNear;
     }
     if let Some(limited) = progress.limited {
@@ -136,10 +151,10 @@
     // faster or free a slot.
     let needed = cx.processing_time.mul_f32(1.3) + settings.pause;
     let can_wait = cx.target_left > needed;
-    if can_wait && progress.waited < settings.near_wait {
+    if can_wait && near_only {
         return Step::Pause;
     }
-    if progress.far_unprobed > 0 {
+    if progress.far_unprobed > 0 && far_probed < settings.max_probed {
         return Step::ProbeFar;
     }
     match best {
--- a/cuminspread/src/coordination/placement/server_state.rs
+++ b/cuminspread/src/coordination/placement/server_state.rs
@@ -24,6 +24,11 @@
     pub fn requests(&self) -> u32 {
         self.running.saturating_add(self.waiting)
     }
+
+    /// Whether one more request would be processed at once.
+    pub fn has_free_slot(&self) -> bool {
+        self.requests() < self.slots
+    }
 }
 
 /// A request in flight at a server.
@@ -181,6 +186,12 @@
             .is_some_and(|(at, _)| now.since(at) <= settings.fresh_age)
     }
 
+    /// Whether its load is known, as far as the servers of its service report it.
+    pub fn is_reported(&self, cx: &PlacementContext, settings: &PlacementSettings) -> bool {
+        let is_recent = |at: Mono| cx.now.since(at) < settings.max_report_age;
+        cx.load_unknown || self.load.is_some_and(|(at, _)| is_recent(at))
+    }
+
     /// Failures since the last response.
     pub fn consecutive_failures(&self) -> u32 {
         self.consecutive_failures
@@ -334,6 +345,11 @@
         if cx.contended && !reported {
             return -1.0;
         }
+        // Several daemons may choose a server at the same moment, and one whose queue is full may
+        // drop a request without an answer.
+        if !cx.load_unknown && self.free_slots(cx.now, settings) < 0 {
+            return -1.0;
+        }
         let in_time = if reported {
             in_time
         } else {
--- a/cuminspread/src/coordination/placement/settings.rs
+++ b/cuminspread/src/coordination/placement/settings.rs
@@ -9,6 +9,9 @@
     pub first_probes: usize,
     /// Servers probed in each further round.
     pub next_probes: usize,
+    /// Servers with fresh reports, near ones and far ones each, from which on no more are probed in
+    /// this round: if none of them has room, the others are unlikely to have any.
+    pub max_probed: usize,
     /// Fraction of the best score in reach from which a server is chosen without further probes.
     pub accept_fraction: f32,
     /// Fraction of the best score in reach from which pending probes aren't waited for.
@@ -30,6 +33,8 @@
     pub pause: Duration,
     /// Longest wait for a near server before far servers are probed.
     pub near_wait: Duration,
+    /// Longest wait for a near server as a fraction of the time until the latency target.
+    pub max_near_wait_fraction: f32,
     /// Age up to which a report counts as new, so that the server isn't probed again.
     pub fresh_age: Duration,
     /// Age from which a report is ignored.
@@ -61,6 +66,7 @@
         Self {
             first_probes: 2,
             next_probes: 3,
+            max_probed: 8,
             accept_fraction: 0.75,
             settle_fraction: 0.93,
             latency_cost: 0.08,
@@ -71,6 +77,7 @@
             far_cost: 0.2,
             pause: Duration::from_millis(25),
             near_wait: Duration::from_millis(60),
+            max_near_wait_fraction: 0.25,
             fresh_age: Duration::from_millis(12),
             max_report_age: Duration::from_millis(100),
             half_life: Duration::from_secs(2),
--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -23,6 +23,9 @@
 const REGISTRATION_DELAY: Duration = Duration::from_millis(600);
 /// Time until another daemon, which a retry reaches, may send to one of the limited servers again.
 const LIMITED_DELAY: Duration = Duration::from_millis(500);
+/// Time until a request that servers with free slots have turned away is tried again: at once, since
+/// another server may take it.
+const DECLINED_DELAY: Duration = Duration::from_millis(10);
 /// Longest random time after the end of a pause at which callers come back.
 const SPREAD_AFTER_PAUSE: Duration = Duration::from_millis(200);
 
@@ -37,6 +40,8 @@
     Emptied,
     /// No server will have a free slot in time.
     NoRoom,
+    /// A server with free slots turned it away, and the retry budget is spent.
+    Declined,
     /// All servers want nothing of this daemon for a time.
     Paused {
         /// Time until the first of them takes requests again.
@@ -60,6 +65,7 @@
             Self::NoServer => "no_server",
             Self::Emptied => "emptied",
             Self::NoRoom => "no_room",
+            Self::Declined => "declined",
             Self::Paused { .. } => "paused",
             Self::Limited => "limited",
             Self::Stopping => "stopping",
@@ -98,6 +104,10 @@
             return delay.clamp(MIN_DELAY, MAX_DELAY);
         }
         RefusalReason::Limited => LIMITED_DELAY,
+        // The request would get the same answer from any daemon, so only a new try helps its caller.
+        RefusalReason::Declined => {
+            return DECLINED_DELAY.mul_f64(rng.random_range(MIN_SPREAD..MAX_SPREAD));
+        }
         RefusalReason::Stopping => MIN_DELAY,
         RefusalReason::Crashing => MAX_DELAY,
     };
--- a/cuminspread/tests/placement.rs
+++ b/cuminspread/tests/placement.rs
@@ -269,6 +269,51 @@
             target_left_ms: 100,
             step: Step::Pause,
         },
+        StepCase {
+            what: "no late request goes to a server that hasn't answered its probe",
+            probed: vec![Observed { load: None, ..IDLE }, full],
+            progress: all_probed,
+            target_left_ms: 100,
+            step: Step::Pause,
+        },
+        StepCase {
+            what: "a late request doesn't join those that wait at a server",
+            probed: vec![Observed {
+                load: Some((3, 1.0)),
+                ..IDLE
+            }],
+            progress: all_probed,
+            target_left_ms: 100,
+            step: Step::Pause,
+        },
+        StepCase {
+            what: "eight near servers have no room: the others aren't probed in this round",
+            probed: vec![full; 8],
+            progress: some_unprobed,
+            target_left_ms: 600,
+            step: Step::Pause,
+        },
+        StepCase {
+            what: "eight near servers stay without room: far servers are probed",
+            probed: vec![full; 8],
+            progress: Progress {
+                near_unprobed: 60,
+                ..waited
+            },
+            target_left_ms: 600,
+            step: Step::ProbeFar,
+        },
+        StepCase {
+            what: "a request with a close target doesn't wait long for near servers",
+            probed: vec![full; 8],
+            progress: Progress {
+                near_unprobed: 60,
+                waited: ms(55),
+                ..no_near
+            },
+            target_left_ms: 200,
+            step: Step::ProbeFar,
+        },
         StepCase {
             what: "a late request takes a fast server without further probes",
             probed: vec![IDLE],
--- a/cuminspread/tests/wait_queue.rs
+++ b/cuminspread/tests/wait_queue.rs
@@ -189,6 +189,14 @@
             min_ms: 300,
             max_ms: 1000,
         },
+        Case {
+            // Servers turn requests away though they have room, so nothing is gained by waiting.
+            reason: RefusalReason::Declined,
+            processing_ms: 300,
+            late_blocked_ms: 400,
+            min_ms: 5,
+            max_ms: 15,
+        },
         Case {
             reason: RefusalReason::NoConfiguration,
             processing_ms: 0,
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -62,6 +62,8 @@
     /// Slowness that the last server reported, and the age of that report.
     slowness: f32,
     report_age: Duration,
+    /// Requests running and waiting at the last server, by that report.
+    server_requests: u32,
 }
 
 /// A running attempt; when dropped, it records its end unless that was recorded before.
@@ -205,14 +207,14 @@
                 }
             }
             Some((mut attempt, result)) = attempts.next(), if !attempts.is_empty() => {
-                let (detail, received) = match handle_result(&mut attempt, result, history) {
+                let (detail, received, reason) = match handle_result(&mut attempt, result, history) {
                     NextStep::Reply(reply) => {
                         replied.store(true, Ordering::Relaxed);
                         return reply;
                     }
-                    NextStep::Retry { detail, received, response } => {
+                    NextStep::Retry { detail, received, reason, response } => {
                         fallback = response.or(fallback);
-                        (detail, received)
+                        (detail, received, reason)
                     }
                 };
                 drop(attempt);
@@ -225,7 +227,7 @@
                         place(edge, req, history.tried.clone()),
                     )));
                 } else if attempts.is_empty() {
-                    return final_reply(edge, req, history, fallback, RefusalReason::NoRoom, detail);
+                    return final_reply(edge, req, history, fallback, reason, detail);
                 }
             }
             Some(()) = hedge_timer, if attempts.len() == 1 => {
@@ -287,18 +289,20 @@
         if let Some((at, load)) = server.state.report() {
             history.slowness = load.slowness;
             history.report_age = now.since(at);
+            history.server_requests = load.requests();
         }
     }
     drop(servers);
     log::info!(
         "event=placed id={} server={} near={} service={} version={} slowness={:.2} \
-         report_age_us={} looks={} aim_left_ms={}",
+         requests={} report_age_us={} looks={} aim_left_ms={}",
         req.outbound.id,
         history.server,
         history.near,
         req.service,
         req.version,
         history.slowness,
+        history.server_requests,
         history.report_age.as_micros(),
         history.probes,
         cx.target_left.as_millis(),
@@ -359,6 +363,8 @@
     Reply(Reply),
     Retry {
         detail: &'static str,
+        /// Why the request is refused if there is no further attempt.
+        reason: RefusalReason,
         /// Whether the server received the request.
         received: bool,
         /// Response for the caller if there is no further attempt.
@@ -384,6 +390,7 @@
                 return NextStep::Retry {
                     detail: "server_failed",
                     received: true,
+                    reason: RefusalReason::NoRoom,
                     response: Some(reply),
                 };
             }
@@ -412,6 +419,10 @@
             NextStep::Retry {
                 detail,
                 received: fields.is_some(),
+                reason: match fields.and_then(|f| f.load) {
+                    Some(load) if load.has_free_slot() => RefusalReason::Declined,
+                    _ => RefusalReason::NoRoom,
+                },
                 response: None,
             }
         }
@@ -426,6 +437,7 @@
                 return NextStep::Retry {
                     detail,
                     received: true,
+                    reason: RefusalReason::NoRoom,
                     response: None,
                 };
             }
@@ -535,8 +547,8 @@
     log::log!(
         level,
         "event=request id={} route={} version={} from={} service={} server={} near={} peer={} \
-         outcome={outcome} status={} detail={detail} last={last} sends={} runs={} hedges={} looks={} waited_us={} \
-         took_us={} slowness={:.2} report_age_us={}",
+         outcome={outcome} status={} detail={detail} last={last} sends={} runs={} hedges={} looks={} \
+         waited_us={} took_us={} slowness={:.2} report_age_us={}",
         req.outbound.id,
         req.route.name,
         req.version,
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -555,7 +555,7 @@
             return;
         };
         server.state.record_load(now, load, ok);
-        if load.requests() < load.slots
+        if load.has_free_slot()
             && let Some(queue) = self.queues.get_mut(&server.entry.service)
         {
             queue.wake(now);
