--- a/cuminspread/src/coordination/refusal.rs
+++ b/cuminspread/src/coordination/refusal.rs
@@ -24,6 +24,9 @@
 /// Time until another daemon, which a retry reaches, may send to one of the limited or cold servers
 /// again.
 const LIMITED_DELAY: Duration = Duration::from_millis(500);
+/// Time until a request that servers with free slots have turned away is tried again: at once, since
+/// another server may take it.
+const DECLINED_DELAY: Duration = Duration::from_millis(10);
 /// Longest random time after the end of a pause at which callers come back.
 const SPREAD_AFTER_PAUSE: Duration = Duration::from_millis(200);
 
@@ -40,6 +43,8 @@
     NoServerInRegion,
     /// No server will have a free slot in time.
     NoRoom,
+    /// A server with free slots turned it away, and the retry budget is spent.
+    Declined,
     /// All servers want nothing of this daemon for a time.
     Paused {
         /// Time until the first of them takes requests again.
@@ -66,6 +71,7 @@
             Self::Emptied => "emptied",
             Self::NoServerInRegion => "no_server_in_region",
             Self::NoRoom => "no_room",
+            Self::Declined => "declined",
             Self::Paused { .. } => "paused",
             Self::Limited => "limited",
             Self::Cold => "cold",
@@ -107,6 +113,10 @@
             return delay.clamp(MIN_DELAY, MAX_DELAY);
         }
         RefusalReason::Limited | RefusalReason::Cold => LIMITED_DELAY,
+        // The request would get the same answer from any daemon, so only a new try helps its caller.
+        RefusalReason::Declined => {
+            return DECLINED_DELAY.mul_f64(rng.random_range(MIN_SPREAD..MAX_SPREAD));
+        }
         RefusalReason::Stopping => MIN_DELAY,
         RefusalReason::Crashing => MAX_DELAY,
     };
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -193,7 +193,7 @@
                 }
             }
             Some((mut attempt, result)) = attempts.next(), if !attempts.is_empty() => {
-                let (detail, received) = match handle_result(&mut attempt, result, history) {
+                let (detail, received, reason) = match handle_result(&mut attempt, result, history) {
                     NextStep::Reply(reply) => {
                         replied.store(true, Ordering::Relaxed);
                         if attempt.is_hedge {
@@ -201,9 +201,9 @@
                         }
                         return reply;
                     }
-                    NextStep::Retry { detail, received, response } => {
+                    NextStep::Retry { detail, received, reason, response } => {
                         fallback = response.or(fallback);
-                        (detail, received)
+                        (detail, received, reason)
                     }
                 };
                 drop(attempt);
@@ -217,7 +217,7 @@
                         place(edge, req, history.tried.clone(), Purpose::Attempt),
                     )));
                 } else if attempts.is_empty() {
-                    return final_reply(edge, req, history, fallback, RefusalReason::NoRoom, detail);
+                    return final_reply(edge, req, history, fallback, reason, detail);
                 }
             }
             Some(due) = &mut hedge, if attempts.len() == 1 => {
@@ -289,18 +289,20 @@
         if let Some((at, load)) = server.state.report() {
             history.slowness = load.slowness;
             history.report_age = now.since(at);
+            history.server_requests = load.requests();
         }
     }
     drop(servers);
     log::info!(
         "event=placed id={} server={} near={} service={} version={} slowness={:.2} \
-         report_age_us={} looks={} aim_left_ms={}",
+         requests={} report_age_us={} looks={} aim_left_ms={}",
         req.outbound.id,
         history.server,
         history.near,
         req.service,
         req.version,
         history.slowness,
+        history.server_requests,
         history.report_age.as_micros(),
         history.probes,
         cx.target_left.as_millis(),
@@ -343,6 +345,8 @@
     Reply(Reply),
     Retry {
         detail: &'static str,
+        /// Why the request is refused if there is no further attempt.
+        reason: RefusalReason,
         /// Whether the server received the request.
         received: bool,
         /// Response for the caller if there is no further attempt.
@@ -368,6 +372,7 @@
                 return NextStep::Retry {
                     detail: "server_failed",
                     received: true,
+                    reason: RefusalReason::NoRoom,
                     response: Some(reply),
                 };
             }
@@ -396,6 +401,10 @@
             NextStep::Retry {
                 detail,
                 received: fields.is_some(),
+                reason: match fields.and_then(|f| f.load) {
+                    Some(load) if load.has_free_slot() => RefusalReason::Declined,
+                    _ => RefusalReason::NoRoom,
+                },
                 response: None,
             }
         }
@@ -410,6 +419,7 @@
                 return NextStep::Retry {
                     detail,
                     received: true,
+                    reason: RefusalReason::NoRoom,
                     response: None,
                 };
             }
--- a/cuminspreadd/src/edge/outcome_log.rs
+++ b/cuminspreadd/src/edge/outcome_log.rs
@@ -37,6 +37,8 @@
     pub slowness: f32,
     /// Age of that report.
     pub report_age: Duration,
+    /// Requests running and waiting at the last server, by that report.
+    pub server_requests: u32,
 }
 
 /// Logs the end of a request and counts it.
