cold servers: the age of a health check counts from its sending; fault-soak plays cold servers

The log of daemon 1 shows why: it was paused for half a second, read the answer to a check that the server had given before it turned cold, and sent all waiting requests on it.

Change: the age of a check counts from its sending. A check serves other requests than its own for as long as a load report does (12 ms), and its own for 150 ms; after that the server is probed again. The drill 'cold-servers' turns servers cold, one or all, told to the registry or not, beside kills, stops and pauses of daemons and a silent store.

--- a/bench/src/fault_soak.rs
+++ b/bench/src/fault_soak.rs
@@ -22,6 +22,7 @@
 //! only to name their start.
 
 pub mod client;
+mod cold_servers;
 mod cut_daemons;
 pub mod fleet;
 pub mod proxy;
@@ -87,6 +88,8 @@
     ServerSignals,
     /// Daemons are cut off from all servers.
     CutDaemons,
+    /// Servers turn cold, and bear few requests.
+    ColdServers,
 }
 
 /// Settings of a run.
@@ -139,7 +142,12 @@
             Arg::new("only")
                 .long("only")
                 .value_name("FAULT")
-                .value_parser(["store-restore", "server-signals", "cut-daemons"])
+                .value_parser([
+                    "store-restore",
+                    "server-signals",
+                    "cut-daemons",
+                    "cold-servers",
+                ])
                 .help("Inject only this fault"),
         )
         .arg(
@@ -169,6 +177,7 @@
     let faults = match args.get_one::<String>("only").map(String::as_str) {
         Some("server-signals") => Faults::ServerSignals,
         Some("cut-daemons") => Faults::CutDaemons,
+        Some("cold-servers") => Faults::ColdServers,
         Some(_) => Faults::StoreRestore,
         None => Faults::Any,
     };
@@ -236,6 +245,7 @@
                 fleet.update()?;
             }
             Faults::ServerSignals => server_signals::inject(&mut fleet, &mut rng).await?,
+            Faults::ColdServers => cold_servers::inject(&mut fleet, &mut rng).await?,
             Faults::CutDaemons => cut_daemons::inject(&mut fleet, &mut rng).await?,
             Faults::StoreRestore => {
                 let left = settings.duration.saturating_sub(start.elapsed());
@@ -277,6 +287,7 @@
     verdict
         .violations
         .extend(server_signals::check(&fleet, &requests));
+    verdict.violations.extend(cold_servers::check(&fleet));
     verdict
         .violations
         .extend(cut_daemons::check(&fleet, &requests));
--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -10,15 +10,18 @@
 
 use anyhow::Context as _;
 use cuminspread_platform::standin::server::{Arrival, Behaviour, ExecutedRequest, StandInServer};
-use cuminspread_platform::standin::store::{Mode, RouteRow, StandInStore, config_text};
+use cuminspread_platform::standin::store::{
+    Mode, RouteRow, StandInStore, config_text, with_cold_rate,
+};
 use rand::RngExt as _;
 use rand_pcg::Pcg32;
 use serde_json::json;
 use tokio::time::Instant;
 
-use super::SoakSettings;
 use super::client::{MAX_ATTEMPTS, ORDER_PREFIX, READ_PREFIX};
+use super::cold_servers::COLD_PER_S;
 use super::proxy::{Cut, Cuts, Fault, Proxy};
+use super::{Faults, SoakSettings};
 
 /// Service of all routes.
 const SERVICE: &str = "status";
@@ -140,6 +143,8 @@
     started: u64,
     /// Version of the published configuration.
     version: u64,
+    /// The configuration names what cold servers bear.
+    names_cold_rate: bool,
 }
 
 impl Fleet {
@@ -171,6 +176,7 @@
             extra_routes: Vec::new(),
             started: 0,
             version: 1,
+            names_cold_rate: settings.faults == Faults::ColdServers,
         };
         fleet.publish_config(0);
         for _ in 0..settings.servers {
@@ -340,7 +346,10 @@
             route("orders", ORDER_PREFIX, false),
         ];
         routes.extend(self.extra_routes.iter().cloned());
-        let text = config_text(self.version, &routes, IDLE_TIMEOUT_S);
+        let mut text = config_text(self.version, &routes, IDLE_TIMEOUT_S);
+        if self.names_cold_rate {
+            text = with_cold_rate(&text, COLD_PER_S);
+        }
         self.store.put_config(text);
     }
 
@@ -418,6 +427,18 @@
         });
     }
 
+    /// Lets a server be cold for a time; `is_reported` if it also tells the registry.
+    pub fn turn_cold(&mut self, server: usize, time: Duration, is_reported: bool) {
+        self.reports += 1;
+        let server = &self.servers[server];
+        server.stand_in.set_cold_for(time);
+        if is_reported {
+            let (id, address) = (server.stand_in.id(), server.proxy.address());
+            self.store
+                .put_cold_report(id, SERVICE, address, self.reports, time);
+        }
+    }
+
     /// Requests that arrived at each server that was ever started.
     pub fn arrivals(&self) -> Vec<Vec<Arrival>> {
         let running = self.servers.iter().map(|s| &s.stand_in);
@@ -534,6 +555,7 @@
         for server in &mut self.servers {
             server.stand_in.set_behaviour(Behaviour::Answer);
             server.stand_in.set_limit("");
+            server.stand_in.set_cold_for(Duration::ZERO);
             server.proxy.set_fault(None);
         }
         self.cuts.clear();
--- a/cuminspread/src/coordination/cold_server.rs
+++ b/cuminspread/src/coordination/cold_server.rs
@@ -37,6 +37,9 @@
 /// Least time for which a server that was warm has to stay cold to be worth telling.
 const NOTABLE_COLD_TIME: Duration = Duration::from_secs(1);
 
+/// Age from which on a health check has to be repeated before the request that it was made for; a
+/// placement that probes several groups of servers takes less.
+pub const MAX_CHECK_AGE: Duration = Duration::from_millis(150);
 /// Part of the rate that daemons use who know none in the server's data centre; low enough that the
 /// holders of three such groups and the proper ones keep within the users' bound.
 const UNSEEN_FRACTION: f32 = 0.25;
@@ -84,7 +87,7 @@
     until: Mono,
     /// Time of the latest news.
     told: Mono,
-    /// When a health check was last answered.
+    /// When the latest answered health check was sent.
     checked: Option<Mono>,
     part: Part,
     /// When the part was computed.
@@ -135,7 +138,7 @@
             }
             ColdNews::Report => {}
             ColdNews::Check { sent_at, healthy } => {
-                self.checked = Some(now);
+                self.checked = self.checked.max(Some(sent_at));
                 let is_latest = sent_at >= self.told && (healthy || !left.is_zero());
                 if is_latest || until > before {
                     self.until = until;
@@ -154,12 +157,12 @@
         }
     }
 
-    /// Whether a request may follow a load report without a health check.
+    /// Whether the latest answered health check was sent no longer than `max_age` ago.
     ///
-    /// A server that bears any number of requests needs no check; `max_age` is the age from which on
-    /// an answered check is outdated.
+    /// A process that was paused may read an answer long after it was given, so the age counts from
+    /// the sending. A server that bears any number of requests needs no check.
     pub fn is_checked(&self, now: Mono, max_age: Duration) -> bool {
-        let is_recent = |at| now.since(at) <= max_age;
+        let is_recent = |sent_at| now.since(sent_at) <= max_age;
         self.interval.is_none() || self.checked.is_some_and(is_recent)
     }
 
--- a/cuminspread/tests/cold_server.rs
+++ b/cuminspread/tests/cold_server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cuminspread::coordination::cold_server::{ColdNews, held_part};
+use cuminspread::coordination::cold_server::{ColdNews, MAX_CHECK_AGE, held_part};
 use cuminspread::coordination::hold_off::{HoldOff, HoldOffCause, SendPermit};
 use cuminspread::coordination::mesh::{Mesh, MeshSettings};
 use cuminspread::protocol::gossip::Daemon;
@@ -404,12 +404,15 @@
     assert_eq!(hold_off.permit(at(1400)), paused);
     hold_off.cold.assign(at(2000), None, 0.5);
     assert_eq!(hold_off.cold.next_send(at(2000)), Some(at(3000)));
-    // A load report counts only with a check of the same age.
-    let max_age = Duration::from_millis(12);
-    assert!(!hold_off.cold.is_checked(at(3000), max_age));
+    // The age of a check counts from its sending, however late its answer is read.
+    assert!(!hold_off.cold.is_checked(at(3000), MAX_CHECK_AGE));
     hold_off
         .cold
-        .record(at(3000), Duration::ZERO, check(2999, true));
-    assert!(hold_off.cold.is_checked(at(3012), max_age));
-    assert!(!hold_off.cold.is_checked(at(3013), max_age));
+        .record(at(3000), Duration::ZERO, check(2950, true));
+    assert!(hold_off.cold.is_checked(at(3100), MAX_CHECK_AGE));
+    assert!(!hold_off.cold.is_checked(at(3101), MAX_CHECK_AGE));
+    hold_off
+        .cold
+        .record(at(3500), Duration::ZERO, check(3000, true));
+    assert!(!hold_off.cold.is_checked(at(3500), MAX_CHECK_AGE));
 }
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cuminspread::coordination::cold_server::MAX_CHECK_AGE;
 use cuminspread::coordination::hold_off::{HoldOffCause, SendPermit};
 use cuminspread::coordination::placement::{self, LimitedServer, PlacementContext, Progress, Step};
 use cuminspread::coordination::refusal::RefusalReason;
@@ -397,13 +398,17 @@
                 (SendPermit::Now, None) => {}
             }
             candidates.no_near &= !near || !alive;
+            // Servers that report no load aren't probed before requests.
+            let cold = &server.hold_off.cold;
+            let is_checked = |max_age| cx.load_unknown || cold.is_checked(now, max_age);
+            if !is_checked(MAX_CHECK_AGE) {
+                probed.retain(|k| *k != key);
+            }
             if probed.contains(&key) {
                 continue;
             }
             let fresh_age = edge.placement().fresh_age;
-            if server.state.is_fresh(now, edge.placement())
-                && server.hold_off.cold.is_checked(now, fresh_age)
-            {
+            if is_checked(fresh_age) && server.state.is_fresh(now, edge.placement()) {
                 probed.push(key);
             } else if server
                 .probed_since
--- a/cuminspreadd/tests/edge/cold_server.rs
+++ b/cuminspreadd/tests/edge/cold_server.rs
@@ -113,7 +113,7 @@
     let began = Instant::now();
     cold.set_cold_for(COLD_TIME);
     let store = &fixture.store;
-    store.put_cold_server(cold.id(), STATUS_SERVICE, cold.address(), COLD_TIME);
+    store.put_cold_report(cold.id(), STATUS_SERVICE, cold.address(), 2, COLD_TIME);
     let full = &fixture.servers[1];
     full.set_running(FULL);
     full.set_slowness(300);
