fault-soak: drill in which data centres are emptied

No request may reach an emptied data centre later than 5 s after the store has it. If the store goes away within 3 s, possibly nobody has read the request, so the time begins when it is back; a daemon's own disruption excuses it for 5 s. Of several programs, only daemons of the first are checked.

--- a/bench/src/fault_soak.rs
+++ b/bench/src/fault_soak.rs
@@ -15,14 +15,15 @@
 //! - a server that then announces that it leaves gets no request sent after the drain time-out.
 //!
 //! `--only` plays a drill instead: with `store-restore` the store comes back from older copies, and
-//! with `server-signals` servers name limits and pauses and announce their ends, and with
-//! `cut-daemons` daemons are cut off from all servers.
+//! with `server-signals` servers name limits and pauses and announce their ends, with `cut-daemons`
+//! daemons are cut off from all servers, and with `evacuate` data centres are emptied.
 //!
 //! No fault changes clocks: daemons measure time with the monotonic clock and use the wall clock
 //! only to name their start.
 
 pub mod client;
 mod cut_daemons;
+mod evacuate;
 pub mod fleet;
 pub mod proxy;
 mod server_signals;
@@ -87,6 +88,8 @@
     ServerSignals,
     /// Daemons are cut off from all servers.
     CutDaemons,
+    /// Data centres are emptied and taken back.
+    Evacuate,
 }
 
 /// Settings of a run.
@@ -139,7 +142,7 @@
             Arg::new("only")
                 .long("only")
                 .value_name("FAULT")
-                .value_parser(["store-restore", "server-signals", "cut-daemons"])
+                .value_parser(["store-restore", "server-signals", "cut-daemons", "evacuate"])
                 .help("Inject only this fault"),
         )
         .arg(
@@ -169,6 +172,7 @@
     let faults = match args.get_one::<String>("only").map(String::as_str) {
         Some("server-signals") => Faults::ServerSignals,
         Some("cut-daemons") => Faults::CutDaemons,
+        Some("evacuate") => Faults::Evacuate,
         Some(_) => Faults::StoreRestore,
         None => Faults::Any,
     };
@@ -237,6 +241,7 @@
             }
             Faults::ServerSignals => server_signals::inject(&mut fleet, &mut rng).await?,
             Faults::CutDaemons => cut_daemons::inject(&mut fleet, &mut rng).await?,
+            Faults::Evacuate => evacuate::inject(&mut fleet, &mut rng).await?,
             Faults::StoreRestore => {
                 let left = settings.duration.saturating_sub(start.elapsed());
                 store_restore::round(&mut fleet, &mut rng, &added_routes, left).await?;
@@ -280,6 +285,9 @@
     verdict
         .violations
         .extend(cut_daemons::check(&fleet, &requests));
+    verdict
+        .violations
+        .extend(evacuate::check(&fleet, &requests));
     let calm: Vec<&SentRequest> = requests.iter().filter(|r| r.at >= calm_from).collect();
     let served = calm.iter().filter(|r| r.outcome == Outcome::Served).count();
     if (served as f64) < MIN_SERVED_FRACTION * calm.len() as f64 {
--- a/bench/src/fault_soak/fleet.rs
+++ b/bench/src/fault_soak/fleet.rs
@@ -16,9 +16,10 @@
 use serde_json::json;
 use tokio::time::Instant;
 
-use super::SoakSettings;
 use super::client::{MAX_ATTEMPTS, ORDER_PREFIX, READ_PREFIX};
+use super::evacuate::{DATA_CENTRES, Evacuations};
 use super::proxy::{Cut, Cuts, Fault, Proxy};
+use super::{Faults, SoakSettings};
 
 /// Service of all routes.
 const SERVICE: &str = "status";
@@ -140,6 +141,10 @@
     started: u64,
     /// Version of the published configuration.
     version: u64,
+    /// Data centres that servers are started in, in turn.
+    data_centres: &'static [&'static str],
+    /// Data centres that were emptied.
+    pub evacuations: Evacuations,
 }
 
 impl Fleet {
@@ -171,6 +176,11 @@
             extra_routes: Vec::new(),
             started: 0,
             version: 1,
+            data_centres: match settings.faults {
+                Faults::Evacuate => &DATA_CENTRES,
+                _ => &DATA_CENTRES[..1],
+            },
+            evacuations: Evacuations::default(),
         };
         fleet.publish_config(0);
         for _ in 0..settings.servers {
@@ -276,6 +286,11 @@
         self.daemons[daemon].takes_forwarded
     }
 
+    /// Whether a daemon runs the first of the programs.
+    pub fn runs_first_program(&self, daemon: usize) -> bool {
+        self.daemons[daemon].program == self.programs[0]
+    }
+
     /// Whether a daemon is cut off from all servers now.
     pub fn is_cut(&self, daemon: usize) -> bool {
         self.daemons[daemon].cut_until.is_some()
@@ -306,9 +321,20 @@
 
     /// Sets how the store handles reads.
     pub fn set_store_mode(&mut self, mode: Mode) {
+        self.evacuations.record_mode(mode);
         self.store.set_mode(mode);
     }
 
+    /// Empties a data centre for the time until `until`, or takes that back if it is `None`.
+    pub fn evacuate(&mut self, data_centre: &'static str, until: Option<Instant>) {
+        self.evacuations.record(data_centre, until);
+        if until.is_some() {
+            self.store.put_evacuation(data_centre);
+        } else {
+            self.store.delete_evacuation(data_centre);
+        }
+    }
+
     /// Compacts the store's history, so that daemons have to read a snapshot.
     pub fn compact(&mut self) {
         self.store.compact();
@@ -426,6 +452,21 @@
         all.map(StandInServer::arrivals).collect()
     }
 
+    /// Requests that arrived at servers, with the data centre of each server.
+    pub fn arrivals_by_data_centre(&self) -> Vec<(&'static str, Vec<Arrival>)> {
+        let left = self.left.iter().map(|l| &l.server);
+        let running = self.servers.iter().chain(left).map(|s| &s.stand_in);
+        let all = running.chain(&self.replaced);
+        all.map(|s| (self.data_centre(s.id()), s.arrivals()))
+            .collect()
+    }
+
+    /// Data centre of a server, by the number in its id.
+    fn data_centre(&self, id: &str) -> &'static str {
+        let number = id.trim_start_matches("i-").parse().unwrap_or(0_usize);
+        self.data_centres[number % self.data_centres.len()]
+    }
+
     /// Whether a daemon was signalled or started again in a span of time.
     pub fn is_disrupted(&self, daemon: usize, from: Instant, to: Instant) -> bool {
         let mut disruptions = self.disruptions.iter();
@@ -529,7 +570,10 @@
 
     /// Ends all faults and resumes paused daemons.
     pub fn end_faults(&mut self) {
-        self.store.set_mode(Mode::Up);
+        self.set_store_mode(Mode::Up);
+        for (data_centre, _) in self.evacuations.current() {
+            self.evacuate(data_centre, None);
+        }
         self.store_proxy.set_fault(None);
         for server in &mut self.servers {
             server.stand_in.set_behaviour(Behaviour::Answer);
@@ -547,10 +591,11 @@
     async fn start_server(&mut self) -> anyhow::Result<Server> {
         self.started += 1;
         let id = format!("i-{:04}", self.started);
+        let zone = self.data_centre(&id);
         let stand_in = StandInServer::start(&id).await;
         let proxy = Proxy::start(stand_in.address(), self.cuts.clone()).await?;
         self.store
-            .put_server(&id, SERVICE, proxy.address(), &json!({}));
+            .put_server(&id, SERVICE, proxy.address(), &json!({"zone": zone}));
         Ok(Server {
             stand_in,
             proxy,
