evacuation: test that an older reader keeps nobody from reading

An older daemon that ranks first as reader announces its reads all the time, without emptied data centres. Daemons of the present format still read for themselves and know of an emptied data centre within 2 s.

--- a/cuminspreadd/tests/edge/evacuation.rs
+++ b/cuminspreadd/tests/edge/evacuation.rs
@@ -1,15 +1,20 @@
 //! The servers of an emptied data centre get nothing until the operator takes that back.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use cuminspread::coordination::catalog::Revision;
+use cuminspread::protocol::gossip::{self, Daemon, GossipMessage, StoreUpdate, Versions};
+use cuminspread::state::Name;
 use cuminspread_platform::standin::client::ClientRequest;
 use cuminspread_platform::standin::server::{Behaviour, StandInServer};
 use cuminspread_platform::standin::store::{Mode, RouteRow, StandInStore};
+use cuminspreadd::edge::admin::Status;
 use cuminspreadd::edge::run::EdgeDaemon;
 use serde_json::json;
+use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::fixture::{Fixture, STATUS_SERVICE, UPDATE_BOUND, send, start_fleet, wait_for};
+use crate::fixture::{Fixture, STATUS_SERVICE, UPDATE_BOUND, get, send, start_fleet, wait_for};
 
 /// Data centre of the daemons, and of the fixture's servers.
 const NEAR: &str = "here";
@@ -163,7 +168,7 @@
     sleep(UPDATE_BOUND).await;
     let before = site.arrivals(FAR) + site.arrivals(NEAR);
     for daemon in &daemons {
-        let began = std::time::Instant::now();
+        let began = Instant::now();
         let res = send(daemon, &ClientRequest::default()).await;
         assert_eq!(res.status, 503);
         assert_eq!(res.text().trim_end(), "emptied");
@@ -202,3 +207,55 @@
     assert_eq!((runs(NEAR), runs(FAR)), (1, 0));
     daemon.kill();
 }
+
+/// A reader of an older format, which would read before all others, tells nothing of evacuations.
+#[tokio::test]
+async fn updates_of_an_older_reader_keep_nobody_from_reading() {
+    let site = Site::start(RouteRow::default()).await;
+    let daemons = start_fleet(&site.fixture, 3).await;
+    let reader = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    site.store().put_evacuation(NEAR);
+    let began = Instant::now();
+    let mut at_end = None;
+    while began.elapsed() < 2 * UPDATE_BOUND {
+        let known: Status =
+            serde_json::from_str(&get(&daemons[0], "/status").await).expect("a status");
+        let revision = Revision {
+            era: known.era,
+            number: known.revision,
+        };
+        let update = GossipMessage::StoreUpdate(Box::new(StoreUpdate {
+            reader: Daemon {
+                address: reader.local_addr().unwrap(),
+                data_centre: Name::new(NEAR),
+                started_ms: 1,
+                capacity: u16::MAX,
+                forward_port: 0,
+            },
+            age: Duration::ZERO,
+            versions: Versions {
+                revision,
+                version: known.version,
+            },
+            base: revision,
+            changes: Vec::new(),
+            routing: None,
+            can_serve: true,
+            relay: false,
+            evacuations: None,
+        }));
+        let bytes = gossip::encode(&update).unwrap();
+        for daemon in &daemons {
+            reader.send_to(&bytes, daemon.peer()).await.unwrap();
+        }
+        sleep(Duration::from_millis(100)).await;
+        if began.elapsed() > UPDATE_BOUND && at_end.is_none() {
+            at_end = Some(site.arrivals(NEAR));
+        }
+        for daemon in &daemons {
+            assert_eq!(send(daemon, &ClientRequest::default()).await.status, 200);
+        }
+    }
+    assert_eq!(at_end, Some(site.arrivals(NEAR)));
+    kill(daemons);
+}
