Test: a cold server names its pause in one of its turns

Cause: the test sent one request to a server that was limited, pausing and cold.

Change: requests are sent until the server has named all three, each refused, for at most 4 s; what is asserted is the same.

--- a/cumin/tests/fleet.rs
+++ b/cumin/tests/fleet.rs
@@ -142,6 +142,31 @@
         .await
         .expect("free ports");
     tokio::time::sleep(Duration::from_millis(800)).await;
+    // The server names its pause to a request, and a cold server gets one only in a turn.
+    let expected = ["limit 3.5/s", "paused for ", "cold for "];
+    let mut text = String::new();
+    for _ in 0..40 {
+        assert_eq!(status_line(&daemon).await, "HTTP/1.1 503");
+        let output = Command::new(env!("CARGO_BIN_EXE_cumin"))
+            .arg("--admin")
+            .arg(format!("http://{}", daemon.admin()))
+            .arg("servers")
+            .output()
+            .expect("cumin runs");
+        text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if expected.iter().all(|e| text.contains(e)) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    for expected in expected {
+        assert!(text.contains(expected), "{expected}: {text}");
+    }
+    daemon.kill();
+}
+
+/// Status line of the response to a new caller's request.
+async fn status_line(daemon: &EdgeDaemon) -> String {
     let mut caller = TcpStream::connect(daemon.front())
         .await
         .expect("the daemon listens");
@@ -155,16 +180,5 @@
         .read_exact(&mut status_line)
         .await
         .expect("a response");
-    assert_eq!(&status_line, b"HTTP/1.1 503");
-    let output = Command::new(env!("CARGO_BIN_EXE_cumin"))
-        .arg("--admin")
-        .arg(format!("http://{}", daemon.admin()))
-        .arg("servers")
-        .output()
-        .expect("cumin runs");
-    let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    for expected in ["limit 3.5/s", "paused for ", "cold for "] {
-        assert!(text.contains(expected), "{expected}: {text}");
-    }
-    daemon.kill();
+    String::from_utf8_lossy(&status_line).into_owned()
 }
