Test: one even load on a fleet for servers with limits and cold servers

Cause: both tests had a copy of the callers in turn and of the busiest window. Ruled out: a builder for loads; two arguments suffice. Change: edge/load.rs holds both; spans, windows, intervals and bounds are those of before. No test was added or taken out.

--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -22,6 +22,8 @@
 mod hedging;
 #[path = "edge/leaving.rs"]
 mod leaving;
+#[path = "edge/load.rs"]
+mod load;
 #[path = "edge/pause.rs"]
 mod pause;
 #[path = "edge/placement.rs"]
--- a/cuminspreadd/tests/edge/cold_server.rs
+++ b/cuminspreadd/tests/edge/cold_server.rs
@@ -2,14 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use cuminspread_platform::standin::client::ClientRequest;
-use cuminspread_platform::standin::server::StandInServer;
 use cuminspread_platform::standin::store::{RouteRow, config_text, with_cold_rate};
 use cuminspreadd::edge::run::EdgeDaemon;
 use tokio::time::sleep;
 
-use crate::caller::{self, Response};
 use crate::fixture::{Fixture, STATUS_SERVICE, start_fleet};
+use crate::load::{busiest_window, load};
 
 const DAEMONS: usize = 4;
 /// Requests a second that a cold server bears.
@@ -37,57 +35,20 @@
     (fixture, daemons)
 }
 
-/// Sends requests to all daemons in turn; returns the responses.
-async fn load(daemons: &[EdgeDaemon], time: Duration) -> Vec<Response> {
-    let began = Instant::now();
-    let mut callers = Vec::new();
-    for i in 0.. {
-        if began.elapsed() >= time {
-            break;
-        }
-        let front = daemons[i % daemons.len()].front();
-        let id = format!("id-{i}");
-        callers.push(tokio::spawn(async move {
-            let req = ClientRequest {
-                id: &id,
-                ..ClientRequest::default()
-            };
-            caller::send(front, &req.text()).await
-        }));
-        sleep(INTERVAL).await;
-    }
-    let mut responses = Vec::new();
-    for caller in callers {
-        responses.push(caller.await.expect("a response"));
-    }
-    responses
-}
-
-/// Most requests in any window between two times.
-fn busiest_window(server: &StandInServer, from: Instant, to: Instant) -> usize {
-    let arrivals = server.arrivals().into_iter().map(|a| a.at);
-    let cold: Vec<Instant> = arrivals.filter(|at| (from..to).contains(at)).collect();
-    let in_window = |from: &Instant| {
-        let window = *from..*from + WINDOW;
-        cold.iter().filter(|at| window.contains(at)).count()
-    };
-    cold.iter().map(in_window).max().unwrap_or_default()
-}
-
 #[tokio::test]
 async fn servers_that_turn_cold_get_what_they_bear_until_they_are_warm() {
     let (fixture, daemons) = start(1).await;
-    let warm = load(&daemons, Duration::from_secs(1)).await;
+    let warm = load(&daemons, Duration::from_secs(1), INTERVAL).await;
     assert!(warm.iter().all(|res| res.status == 200));
     // The registry doesn't tell, so the daemons learn it from the answers to probes.
     let began = Instant::now();
     for server in &fixture.servers {
         server.set_cold_for(COLD_TIME);
     }
-    let responses = load(&daemons, COLD_TIME).await;
+    let responses = load(&daemons, COLD_TIME, INTERVAL).await;
     let ended = began + COLD_TIME;
     for server in &fixture.servers {
-        let busiest = busiest_window(server, began, ended);
+        let busiest = busiest_window(server, began..ended, WINDOW);
         assert!(busiest <= MOST_IN_WINDOW, "{busiest} requests in 1 s");
         let sent = server.arrivals().into_iter();
         let sent = sent.filter(|a| (began..ended).contains(&a.at)).count();
@@ -99,7 +60,7 @@
         assert!(res.field("retry-after").is_some(), "{}", res.head);
     }
     sleep(Duration::from_millis(500)).await;
-    let warm = load(&daemons, Duration::from_secs(1)).await;
+    let warm = load(&daemons, Duration::from_secs(1), INTERVAL).await;
     assert!(warm.iter().all(|res| res.status == 200));
     for daemon in daemons {
         daemon.kill();
@@ -117,8 +78,8 @@
     let full = &fixture.servers[1];
     full.set_running(FULL);
     full.set_slowness(300);
-    let responses = load(&daemons, COLD_TIME).await;
-    let busiest = busiest_window(cold, began, began + COLD_TIME);
+    let responses = load(&daemons, COLD_TIME, INTERVAL).await;
+    let busiest = busiest_window(cold, began..began + COLD_TIME, WINDOW);
     assert!(busiest <= MOST_IN_WINDOW, "{busiest} requests in 1 s");
     assert!(!cold.arrivals().is_empty(), "its turns are used");
     for res in responses.iter().filter(|r| r.status != 200) {
--- a/cuminspreadd/tests/edge/server_limit.rs
+++ b/cuminspreadd/tests/edge/server_limit.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cuminspread_platform::standin::client::ClientRequest;
 use cuminspread_platform::standin::server::StandInServer;
 use cuminspread_platform::standin::store::RouteRow;
 use cuminspreadd::edge::run::EdgeDaemon;
 use cuminspreadd::settings::Settings;
-use tokio::time::sleep;
 
-use crate::caller::{self, Response};
 use crate::fixture::Fixture;
+use crate::load::{busiest_window, load};
 
 /// Time after which a limit that a server has named must be kept.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -37,14 +35,8 @@
 }
 
 /// Most requests in any window that begins once the limit must be kept.
-fn busiest_window(server: &StandInServer, began: Instant) -> usize {
-    let arrivals = server.arrivals().into_iter().map(|a| a.at);
-    let settled: Vec<Instant> = arrivals.filter(|at| *at >= began + SETTLE_TIME).collect();
-    let in_window = |from: &Instant| {
-        let window = *from..*from + WINDOW;
-        settled.iter().filter(|at| window.contains(at)).count()
-    };
-    settled.iter().map(in_window).max().unwrap_or_default()
+fn busiest_after_settling(server: &StandInServer, began: Instant) -> usize {
+    busiest_window(server, began + SETTLE_TIME..Instant::now(), WINDOW)
 }
 
 /// Requests that may reach a server in a window, by the users' rule.
@@ -52,32 +44,6 @@
     (1.5 * per_s * WINDOW.as_secs_f32()) as usize + 5
 }
 
-/// Sends requests to all daemons in turn; returns the responses.
-async fn load(daemons: &[EdgeDaemon]) -> Vec<Response> {
-    let end = Instant::now() + LOAD_TIME;
-    let mut callers = Vec::new();
-    for i in 0.. {
-        if Instant::now() >= end {
-            break;
-        }
-        let front = daemons[i % daemons.len()].front();
-        let id = format!("id-{i}");
-        callers.push(tokio::spawn(async move {
-            let req = ClientRequest {
-                id: &id,
-                ..ClientRequest::default()
-            };
-            caller::send(front, &req.text()).await
-        }));
-        sleep(INTERVAL).await;
-    }
-    let mut responses = Vec::new();
-    for caller in callers {
-        responses.push(caller.await.expect("a response"));
-    }
-    responses
-}
-
 #[tokio::test]
 async fn a_limited_server_gets_its_rate_and_the_others_the_rest() {
     let per_s = 3.2;
@@ -86,15 +52,15 @@
     let limited = &fixture.servers[0];
     limited.set_limit(&per_s.to_string());
     let began = Instant::now();
-    let responses = load(&daemons).await;
+    let responses = load(&daemons, LOAD_TIME, INTERVAL).await;
     let served = responses.iter().filter(|r| r.status == 200).count();
     assert_eq!(served, responses.len(), "the other servers are free");
-    let busiest = busiest_window(limited, began);
+    let busiest = busiest_after_settling(limited, began);
     assert!(busiest <= allowed(per_s), "{busiest} requests in 4 s");
     // Without a limit it gets its part again.
     limited.set_limit("");
     let before = limited.arrivals().len();
-    load(&daemons).await;
+    load(&daemons, LOAD_TIME, INTERVAL).await;
     let gained = limited.arrivals().len() - before;
     assert!(gained > 60, "{gained} requests after the limit has ended");
     for daemon in daemons {
@@ -111,9 +77,9 @@
         server.set_limit(&per_s.to_string());
     }
     let began = Instant::now();
-    let responses = load(&daemons).await;
+    let responses = load(&daemons, LOAD_TIME, INTERVAL).await;
     for server in &fixture.servers {
-        let busiest = busiest_window(server, began);
+        let busiest = busiest_after_settling(server, began);
         assert!(busiest <= allowed(per_s), "{busiest} requests in 4 s");
         let settled = server.arrivals().into_iter();
         let settled = settled.filter(|a| a.at >= began + SETTLE_TIME);
