placement, hold_off: one reading of a recent report; the end of a hold-off without a list

Cause: the age up to which a load report counts was tested in three places, and HoldOff::permit collected times in a list for each server that holds a request off, at each look at a service's servers. Ruled out: one type for the parts of limits and of cold servers' rates; a late request of a limit makes up for its turn, one to a cold server must not. Change: ServerState::recent_load; the latest time is folded.

--- a/cuminspread/src/coordination/cold_server.rs
+++ b/cuminspread/src/coordination/cold_server.rs
@@ -33,10 +33,8 @@
 /// Least change of the time at which a server is expected to be warm that is worth telling: reports
 /// reach the registry and its readers up to this late.
 const NOTABLE_DELAY: Duration = Duration::from_secs(2);
-
 /// Least time for which a server that was warm has to stay cold to be worth telling.
 const NOTABLE_COLD_TIME: Duration = Duration::from_secs(1);
-
 /// Age from which on a health check has to be repeated before the request that it was made for; a
 /// placement that probes several groups of servers takes less.
 pub const MAX_CHECK_AGE: Duration = Duration::from_millis(150);
--- a/cuminspread/src/coordination/hold_off.rs
+++ b/cuminspread/src/coordination/hold_off.rs
@@ -98,8 +98,8 @@
         match holding.next() {
             None => SendPermit::Now,
             Some((_, cause)) => {
-                let times: Option<Vec<Mono>> = all.into_iter().map(|(at, _)| at).collect();
-                let latest = times.and_then(|times| times.into_iter().max());
+                let mut times = all.into_iter().map(|(at, _)| at);
+                let latest = times.try_fold(now, |latest, at| Some(latest.max(at?)));
                 SendPermit::From(latest, cause)
             }
         }
--- a/cuminspread/src/coordination/placement/server_state.rs
+++ b/cuminspread/src/coordination/placement/server_state.rs
@@ -188,8 +188,13 @@
 
     /// Whether its load is known, as far as the servers of its service report it.
     pub fn is_reported(&self, cx: &PlacementContext, settings: &PlacementSettings) -> bool {
-        let is_recent = |at: Mono| cx.now.since(at) < settings.max_report_age;
-        cx.load_unknown || self.load.is_some_and(|(at, _)| is_recent(at))
+        cx.load_unknown || self.recent_load(cx.now, settings).is_some()
+    }
+
+    /// Last reported load, unless it is too old to be used.
+    fn recent_load(&self, now: Mono, settings: &PlacementSettings) -> Option<ServerLoad> {
+        let (at, load) = self.load?;
+        (now.since(at) < settings.max_report_age).then_some(load)
     }
 
     /// Failures since the last response.
@@ -417,23 +422,19 @@
         } else {
             1.0
         };
-        match self.load {
-            // A server that was slow a moment ago is usually still slow.
-            Some((at, load)) if now.since(at) < settings.max_report_age => load.slowness * cold,
-            _ => cold,
-        }
+        // A server that was slow a moment ago is usually still slow.
+        let recent = self.recent_load(now, settings);
+        recent.map_or(cold, |load| load.slowness * cold)
     }
 
     /// Free slots; negative if requests wait at the server.
     fn free_slots(&self, now: Mono, settings: &PlacementSettings) -> i64 {
         let by_own_count = i64::from(self.slots) - self.in_flight.len() as i64;
-        match self.load {
-            Some((at, load)) if now.since(at) < settings.max_report_age => {
-                let used = load.requests().saturating_add(self.sent_since_report);
-                by_own_count.min(i64::from(load.slots) - i64::from(used))
-            }
-            _ => by_own_count,
-        }
+        let recent = self.recent_load(now, settings);
+        recent.map_or(by_own_count, |load| {
+            let used = load.requests().saturating_add(self.sent_since_report);
+            by_own_count.min(i64::from(load.slots) - i64::from(used))
+        })
     }
 
     /// Whether the server has a free slot, as far as is known.
--- a/cuminspread/src/coordination/read_ahead.rs
+++ b/cuminspread/src/coordination/read_ahead.rs
@@ -1,6 +1,6 @@
 //! Which requests are started before the ones in front of them on a connection are answered.
 //!
-//! The load: callers send several reads at once on one connection and wait for the answers in order.
+//! Load pattern: callers send several reads at once on one connection and wait for the answers in order.
 //! One after the other, each would wait for the service times of all in front of it, while servers
 //! have free slots. So reads behind reads are started as they arrive.
 //!
