--- a/cuminspread/src/protocol/gossip/additions.rs
+++ b/cuminspread/src/protocol/gossip/additions.rs
@@ -61,7 +61,7 @@
 #[derive(Serialize, Deserialize)]
 pub(super) struct Terms {
     /// Regions that each route of the message allows, in the order of the routes.
-    allowed_regions: Vec<Vec<Name>>,
+    regions: Vec<Vec<Name>>,
     /// Time between requests to a cold server of each service, in the order of the services.
     cold_intervals: Vec<Option<Duration>>,
 }
@@ -69,7 +69,7 @@
 impl Terms {
     fn new(routes: &[Arc<Route>], services: &[ServiceSpec]) -> Self {
         Self {
-            allowed_regions: routes.iter().map(|r| r.allowed_regions.clone()).collect(),
+            regions: routes.iter().map(|r| r.regions.clone()).collect(),
             cold_intervals: services.iter().map(|s| s.cold_interval).collect(),
         }
     }
@@ -111,13 +111,12 @@
 
     /// Returns false if the terms are of other routes or services.
     fn add_to(self, routes: &mut [Arc<Route>], services: &mut [ServiceSpec]) -> bool {
-        if routes.len() != self.allowed_regions.len() || services.len() != self.cold_intervals.len()
-        {
+        if routes.len() != self.regions.len() || services.len() != self.cold_intervals.len() {
             return false;
         }
-        for (route, regions) in routes.iter_mut().zip(self.allowed_regions) {
+        for (route, regions) in routes.iter_mut().zip(self.regions) {
             if !regions.is_empty() {
-                Arc::make_mut(route).allowed_regions = regions;
+                Arc::make_mut(route).regions = regions;
             }
         }
         for (service, interval) in services.iter_mut().zip(self.cold_intervals) {
--- a/cuminspread/src/state/routing.rs
+++ b/cuminspread/src/state/routing.rs
@@ -49,13 +49,13 @@
     /// Regions whose servers and daemons may have its requests; empty for all. Messages carry them
     /// outside of the route.
     #[serde(skip)]
-    pub allowed_regions: Vec<Name>,
+    pub regions: Vec<Name>,
 }
 
 impl Route {
     /// Whether servers and daemons of a region may have its requests; `None` for an unknown region.
     pub fn allows(&self, region: Option<&Name>) -> bool {
-        self.allowed_regions.is_empty() || region.is_some_and(|r| self.allowed_regions.contains(r))
+        self.regions.is_empty() || region.is_some_and(|r| self.regions.contains(r))
     }
 }
 
@@ -199,10 +199,10 @@
         let known: HashMap<&Name, &Arc<Route>> = known.collect();
         for route in &mut next.routes {
             if let Some(before) = known.get(&route.name)
-                && route.allowed_regions != before.allowed_regions
+                && route.regions != before.regions
             {
-                let regions = &mut Arc::make_mut(route).allowed_regions;
-                regions.clone_from(&before.allowed_regions);
+                let regions = &mut Arc::make_mut(route).regions;
+                regions.clone_from(&before.regions);
             }
         }
         for service in &mut next.services {
--- a/cuminspread/src/state/routing/check.rs
+++ b/cuminspread/src/state/routing/check.rs
@@ -350,11 +350,8 @@
         let change = format!("attempts {}, were {}", route.max_attempts, old.max_attempts);
         push(change, "bounds retries and hedges");
     }
-    if route.allowed_regions != old.allowed_regions {
-        let change = format!(
-            "regions {:?}, were {:?}",
-            route.allowed_regions, old.allowed_regions
-        );
+    if route.regions != old.regions {
+        let change = format!("regions {:?}, were {:?}", route.regions, old.regions);
         push(change, "other servers and daemons may have its requests");
     }
     out
--- a/cuminspread/tests/gossip_format.rs
+++ b/cuminspread/tests/gossip_format.rs
@@ -146,7 +146,7 @@
                 service: Name::new("status"),
                 weight: 1,
             }],
-            allowed_regions: regions.iter().map(Name::new).collect(),
+            regions: regions.iter().map(Name::new).collect(),
         })
     };
     let service = |name, cold_interval| ServiceSpec {
--- a/cuminspread/tests/hedging/main.rs
+++ b/cuminspread/tests/hedging/main.rs
@@ -267,7 +267,7 @@
             priority: 0,
             max_attempts,
             services: Vec::new(),
-            allowed_regions: Vec::new(),
+            regions: Vec::new(),
         };
         assert_eq!(may_hedge(&route), expected, "{idempotent}, {max_attempts}");
     }
--- a/cuminspread/tests/reader.rs
+++ b/cuminspread/tests/reader.rs
@@ -338,7 +338,7 @@
             latency_target: Duration::from_secs(1),
             priority: 1,
             max_attempts: 2,
-            allowed_regions: Vec::new(),
+            regions: Vec::new(),
         })
     };
     let routing = Routing {
--- a/cuminspread/tests/routing.rs
+++ b/cuminspread/tests/routing.rs
@@ -18,7 +18,7 @@
         latency_target: Duration::from_millis(500),
         priority: 0,
         max_attempts: 2,
-        allowed_regions: Vec::new(),
+        regions: Vec::new(),
         services: vec![WeightedService {
             service: Name::new("status"),
             weight: 1,
--- a/cuminspreadd/src/edge/state/location.rs
+++ b/cuminspreadd/src/edge/state/location.rs
@@ -49,7 +49,7 @@
             let server = self.servers.get(k);
             server.is_some_and(|s| edge.allows(&req.route, &s.entry.data_centre))
         };
-        let is_restricted = !req.route.allowed_regions.is_empty();
+        let is_restricted = !req.route.regions.is_empty();
         if is_restricted {
             keys.retain(is_allowed);
         }
--- a/cuminspreadd/tests/edge/regions.rs
+++ b/cuminspreadd/tests/edge/regions.rs
@@ -35,7 +35,7 @@
 /// One server in each place, and a route that allows these regions.
 async fn start(regions: &[&'static str]) -> (Fixture, Vec<StandInServer>) {
     let route = RouteRow {
-        allowed_regions: regions.to_vec(),
+        regions: regions.to_vec(),
         ..RouteRow::default()
     };
     let fixture = Fixture::new(0, route).await;
@@ -50,7 +50,7 @@
 }
 
 #[tokio::test]
-async fn requests_go_to_servers_of_the_allowed_regions() {
+async fn requests_go_to_servers_of_the_routes_regions() {
     struct Case {
         regions: &'static [&'static str],
         daemon: &'static str,
@@ -127,7 +127,7 @@
 
 /// The peer in a region that isn't allowed has the only server that answers, and may not be asked.
 #[tokio::test]
-async fn requests_are_forwarded_to_peers_of_the_allowed_regions_only() {
+async fn requests_are_forwarded_to_peers_of_the_routes_regions_only() {
     for (peer, expected) in [("there", true), ("yonder", false), ("nowhere", false)] {
         let (fixture, servers) = start(&["north"]).await;
         let first = start_daemon(&fixture, "here", &[]).await;
