Test: a server that announces its end is asked before the test goes on

One of the tests in KNOWN-RED.txt: leaving::a_server_that_announces_its_end_in_an_answer_gets_no_further_request saw three probes of the leaving server instead of two, and no request.

Cause: the test sent one request after the server had begun to announce its end, and took for granted that this request or its probe reached that server. If the other server's report was at most 12 ms old, the request used that report and asked the leaving server nothing, so no daemon knew yet; the probe that was counted later is the one that learned it. Ruled out: lost messages between daemons.

Change: the test sends until the leaving server has answered something. Its checks of what follows are the same.

--- a/cuminspreadd/tests/edge/leaving.rs
+++ b/cuminspreadd/tests/edge/leaving.rs
@@ -56,8 +56,15 @@
         let leaving = fixture.servers.iter().max_by_key(|s| s.arrivals().len());
         let leaving = leaving.expect("two servers");
         leaving.set_leaving(true);
-        // Its answer tells one daemon, and this daemon tells its peers.
-        assert_eq!(send_many(&daemons[0], 1).await, 1);
+        // Its answer tells one daemon, and this daemon tells its peers. A request that uses the report
+        // of the other server asks the leaving one nothing.
+        let contacts = || leaving.arrivals().len() + leaving.probes() as usize;
+        let told = contacts();
+        wait_for("an answer of the leaving server", async || {
+            assert_eq!(send_many(&daemons[0], 1).await, 1);
+            contacts() > told
+        })
+        .await;
         sleep(SETTLE_TIME).await;
         let report = || {
             let ready = json!({"seq": 9});
