placement: single answers without a load leave a service's reports in use

Cause: a daemon took one probe that was answered without a load for a sign that the service's servers report none, stopped probing all of them, and went on so until a probe that was already open came back with a load.

Change: an answer without a load counts only if no server of the service has reported one for ten seconds, and any report ends that state. An older daemon does as before; nothing is sent that it doesn't know.

--- a/cuminspread/src/coordination/placement.rs
+++ b/cuminspread/src/coordination/placement.rs
@@ -16,11 +16,13 @@
 use rand::RngExt as _;
 use rand_pcg::Pcg32;
 
+mod load_reporting;
 mod load_slowdown;
 mod server_state;
 mod settings;
 mod subset;
 
+pub use load_reporting::LoadReporting;
 pub use load_slowdown::LoadSlowdown;
 pub use server_state::{AttemptEnd, PlacementContext, ServerLoad, ServerState};
 pub use settings::PlacementSettings;
--- a/cuminspread/tests/placement.rs
+++ b/cuminspread/tests/placement.rs
@@ -4,8 +4,8 @@
 
 use cuminspread::coordination::decaying_rate::DecayingRate;
 use cuminspread::coordination::placement::{
-    self, AttemptEnd, LoadSlowdown, PROBE_RATE_HALF_LIFE, PlacementContext, PlacementSettings,
-    Progress, ServerLoad, ServerState, Step, subset_size,
+    self, AttemptEnd, LoadReporting, LoadSlowdown, PROBE_RATE_HALF_LIFE, PlacementContext,
+    PlacementSettings, Progress, ServerLoad, ServerState, Step, subset_size,
 };
 use cuminspread::state::time::Mono;
 use rand::RngExt as _;
@@ -698,3 +698,62 @@
     assert_eq!(subset_size(2.0, idle_timeout, 7, &settings), 5);
     assert_eq!(subset_size(2.0, idle_timeout, 3, &settings), 5);
 }
+
+#[test]
+fn single_answers_without_a_load_leave_reports_in_use() {
+    #[derive(Clone, Copy)]
+    enum Answer {
+        Load,
+        NoLoad,
+    }
+    use Answer::{Load, NoLoad};
+    struct Case {
+        what: &'static str,
+        /// Answers of the service's servers, and their times in milliseconds.
+        answers: &'static [(u64, Answer)],
+        is_unknown: bool,
+    }
+    let cases = [
+        Case {
+            what: "no answer yet",
+            answers: &[],
+            is_unknown: false,
+        },
+        Case {
+            what: "no server has reported a load",
+            answers: &[(10, NoLoad), (20, NoLoad)],
+            is_unknown: true,
+        },
+        Case {
+            what: "servers that turn probes away leave their load out",
+            answers: &[
+                (10, Load),
+                (20, NoLoad),
+                (300, NoLoad),
+                (301, Load),
+                (2000, NoLoad),
+            ],
+            is_unknown: false,
+        },
+        Case {
+            what: "the first answer is one without a load",
+            answers: &[(10, NoLoad), (11, Load)],
+            is_unknown: false,
+        },
+        Case {
+            what: "the servers no longer report their load",
+            answers: &[(10, Load), (10_011, NoLoad)],
+            is_unknown: true,
+        },
+    ];
+    for case in cases {
+        let mut reporting = LoadReporting::default();
+        for (time, answer) in case.answers {
+            match answer {
+                Load => reporting.record_report(at(*time)),
+                NoLoad => reporting.record_missing(at(*time)),
+            }
+        }
+        assert_eq!(reporting.is_unknown(), case.is_unknown, "{}", case.what);
+    }
+}
--- a/cuminspreadd/src/edge/probe.rs
+++ b/cuminspreadd/src/edge/probe.rs
@@ -54,9 +54,9 @@
     let cause = match probed {
         Ok(Ok((health, is_new_connection))) if health.server.as_ref().is_none_or(|s| *s == id) => {
             let service = server.entry.service.clone();
-            servers.set_load_unknown(&service, health.load.is_none());
-            if let Some(load) = health.load {
-                servers.record_load(now, key, load, Some(health.healthy));
+            match health.load {
+                Some(load) => servers.record_load(now, key, load, Some(health.healthy)),
+                None => servers.record_no_load(now, &service),
             }
             if let Some(pause) = health.pause {
                 servers.record_pause(now, key, pause);
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -8,7 +8,7 @@
 mod shares;
 mod streamed;
 
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{BuildHasher as _, Hasher as _, RandomState};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -21,7 +21,8 @@
 use cuminspread::coordination::hedging::Hedging;
 use cuminspread::coordination::hold_off::HoldOff;
 use cuminspread::coordination::placement::{
-    AttemptEnd, LoadSlowdown, PlacementContext, PlacementSettings, ServerLoad, ServerState,
+    AttemptEnd, LoadReporting, LoadSlowdown, PlacementContext, PlacementSettings, ServerLoad,
+    ServerState,
 };
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::reachability::Reachability;
@@ -97,8 +98,8 @@
     daemons: usize,
     queues: HashMap<Name, ServiceQueue>,
     slowdown: HashMap<Name, LoadSlowdown>,
-    /// Services whose servers answer probes without reporting a load.
-    load_unknown: HashSet<Name>,
+    /// Whether the servers of each service report their load.
+    load_reporting: HashMap<Name, LoadReporting>,
     probe_rates: HashMap<Name, DecayingRate>,
     /// Size of this daemon's subset of the servers of each service.
     subset_sizes: HashMap<Name, usize>,
@@ -394,7 +395,7 @@
             daemons: 1,
             queues: HashMap::new(),
             slowdown: HashMap::new(),
-            load_unknown: HashSet::new(),
+            load_reporting: HashMap::new(),
             probe_rates: HashMap::new(),
             subset_sizes: HashMap::new(),
             subset_salt: seed,
@@ -487,18 +488,16 @@
         self.former_hold_offs.insert(server.entry.id, former);
     }
 
-    /// Records whether the servers of a service report no load.
-    pub fn set_load_unknown(&mut self, service: &Name, unknown: bool) {
-        if unknown {
-            self.load_unknown.insert(service.clone());
-        } else {
-            self.load_unknown.remove(service);
-        }
+    /// Records that a server of a service answered a probe without its load.
+    pub fn record_no_load(&mut self, now: Mono, service: &Name) {
+        let reporting = self.load_reporting.entry(service.clone()).or_default();
+        reporting.record_missing(now);
     }
 
     /// Whether the servers of a service report no load.
     pub fn is_load_unknown(&self, service: &str) -> bool {
-        self.load_unknown.contains(service)
+        let reporting = self.load_reporting.get(service);
+        reporting.is_some_and(LoadReporting::is_unknown)
     }
 
     /// The server of a key, unless it was removed.
@@ -581,8 +580,11 @@
             return;
         };
         server.state.record_load(now, load, ok);
+        let service = server.entry.service.clone();
+        let reporting = self.load_reporting.entry(service.clone()).or_default();
+        reporting.record_report(now);
         if load.has_free_slot()
-            && let Some(queue) = self.queues.get_mut(&server.entry.service)
+            && let Some(queue) = self.queues.get_mut(&service)
         {
             queue.wake(now);
         }
