placement: the wait for near servers follows the distance to far ones

The five or six servers of the own data centre turn requests away or are slow for a moment, and until 60 ms had passed no other was probed, though the others are 1.4 ms away.

Hypothesis: a wait pays as long as it costs no more than the distance.

Change: probes on open connections measure the round trip to near and far servers; a request waits for near ones at most four times as long as the round trip to far ones is longer, and 60 ms at most, as before, while nothing is known or for another region. Daemons of before are not concerned.

--- a/cuminspread/src/coordination/placement.rs
+++ b/cuminspread/src/coordination/placement.rs
@@ -16,12 +16,14 @@
 use rand::RngExt as _;
 use rand_pcg::Pcg32;
 
+mod distance;
 mod load_reporting;
 mod load_slowdown;
 mod server_state;
 mod settings;
 mod subset;
 
+pub use distance::RoundTrips;
 pub use load_reporting::LoadReporting;
 pub use load_slowdown::LoadSlowdown;
 pub use server_state::{AttemptEnd, PlacementContext, ServerLoad, ServerState};
@@ -48,7 +50,8 @@
     pub near_unprobed: usize,
     /// Far servers not yet probed in this round.
     pub far_unprobed: usize,
-    /// Time since the placement began; `near_wait` if there are no near servers to wait for.
+    /// Time since the placement began; [`PlacementContext::near_wait`] if there are no near servers to
+    /// wait for.
     pub waited: Duration,
     /// A server that names a limit and takes a request of this daemon now.
     pub limited: Option<LimitedServer>,
@@ -129,7 +132,7 @@
     });
     let best = scored.max_by(|a, b| a.0.total_cmp(&b.0));
     // After `near_wait` a far server is accepted as readily as a near one.
-    let near_wait = settings
+    let near_wait = cx
         .near_wait
         .min(cx.target_left.mul_f32(settings.max_near_wait_fraction));
     let near_only = progress.waited < near_wait;
--- a/cuminspread/src/coordination/placement/server_state.rs
+++ b/cuminspread/src/coordination/placement/server_state.rs
@@ -114,6 +114,8 @@
     pub load_slowdown: f32,
     /// Other requests wait in the queue of this service.
     pub contended: bool,
+    /// Longest wait for a near server before far servers are probed.
+    pub near_wait: Duration,
 }
 
 /// How an attempt at a server ended.
--- a/cuminspread/src/coordination/placement/settings.rs
+++ b/cuminspread/src/coordination/placement/settings.rs
@@ -31,8 +31,11 @@
     /// Pause before the same servers are probed again; short against the time for which a server
     /// keeps its speed.
     pub pause: Duration,
-    /// Longest wait for a near server before far servers are probed.
-    pub near_wait: Duration,
+    /// Longest wait for a near server before far servers are probed, as a multiple of the time by which
+    /// the round trip to a far server is longer.
+    pub near_wait_round_trips: f32,
+    /// Longest such wait at any distance, and while the distance isn't known.
+    pub max_near_wait: Duration,
     /// Longest wait for a near server as a fraction of the time until the latency target.
     pub max_near_wait_fraction: f32,
     /// Age up to which a report counts as new, so that the server isn't probed again.
@@ -76,7 +79,8 @@
             max_subset_size: 8,
             far_cost: 0.2,
             pause: Duration::from_millis(25),
-            near_wait: Duration::from_millis(60),
+            near_wait_round_trips: 4.0,
+            max_near_wait: Duration::from_millis(60),
             max_near_wait_fraction: 0.25,
             fresh_age: Duration::from_millis(12),
             max_report_age: Duration::from_millis(100),
--- a/cuminspread/tests/hedging/replay.rs
+++ b/cuminspread/tests/hedging/replay.rs
@@ -33,6 +33,7 @@
         load_unknown: false,
         load_slowdown: 1.7,
         contended: false,
+        near_wait: Duration::ZERO,
     }
 }
 
--- a/cuminspread/tests/placement.rs
+++ b/cuminspread/tests/placement.rs
@@ -5,7 +5,7 @@
 use cuminspread::coordination::decaying_rate::DecayingRate;
 use cuminspread::coordination::placement::{
     self, AttemptEnd, LoadReporting, LoadSlowdown, PROBE_RATE_HALF_LIFE, PlacementContext,
-    PlacementSettings, Progress, ServerLoad, ServerState, Step, subset_size,
+    PlacementSettings, Progress, RoundTrips, ServerLoad, ServerState, Step, subset_size,
 };
 use cuminspread::state::time::Mono;
 use rand::RngExt as _;
@@ -30,6 +30,7 @@
         load_unknown: false,
         load_slowdown: 1.0,
         contended: false,
+        near_wait: PlacementSettings::default().max_near_wait,
     }
 }
 
@@ -757,3 +758,96 @@
         assert_eq!(reporting.is_unknown(), case.is_unknown, "{}", case.what);
     }
 }
+
+/// The near servers of one data centre are slow or full for a moment, and others have room.
+#[test]
+fn the_wait_for_near_servers_follows_the_distance_to_far_ones() {
+    struct Case {
+        what: &'static str,
+        /// Round-trip times of probes in the own data centre and to others, in microseconds.
+        near_us: &'static [u64],
+        far_us: &'static [u64],
+        /// Bounds of the wait in milliseconds.
+        wait_ms: (u64, u64),
+        /// Next step of a request that has waited for 15 ms.
+        step: Step,
+    }
+    let cases = [
+        Case {
+            what: "nothing is known of the distance",
+            near_us: &[400],
+            far_us: &[],
+            wait_ms: (60, 60),
+            step: Step::Pause,
+        },
+        Case {
+            what: "a data centre in the same region",
+            near_us: &[400, 500, 400],
+            far_us: &[3000, 3300, 3000],
+            wait_ms: (10, 12),
+            step: Step::ProbeFar,
+        },
+        Case {
+            what: "one slow answer doesn't change the distance much",
+            near_us: &[400],
+            far_us: &[3000, 8000, 3000, 3000],
+            wait_ms: (10, 13),
+            step: Step::ProbeFar,
+        },
+        Case {
+            what: "another region",
+            near_us: &[400],
+            far_us: &[24_000],
+            wait_ms: (60, 60),
+            step: Step::Pause,
+        },
+        Case {
+            what: "far servers answer no later than near ones",
+            near_us: &[900],
+            far_us: &[500],
+            wait_ms: (0, 0),
+            step: Step::ProbeFar,
+        },
+    ];
+    let now = at(1000);
+    let settings = PlacementSettings::default();
+    let slow = server_state(
+        Observed {
+            load: Some((0, 5.0)),
+            ..IDLE
+        },
+        now,
+    );
+    let progress = Progress {
+        near_unprobed: 0,
+        far_unprobed: 9,
+        waited: ms(15),
+        ..Progress::default()
+    };
+    for case in cases {
+        let mut round_trips = RoundTrips::default();
+        for (near, times) in [(true, case.near_us), (false, case.far_us)] {
+            for time in times {
+                round_trips.record(near, Duration::from_micros(*time));
+            }
+        }
+        let near_wait = round_trips.near_wait(&settings);
+        let (min, max) = case.wait_ms;
+        let name = case.what;
+        assert!(
+            (ms(min)..=ms(max)).contains(&near_wait),
+            "{name}: {near_wait:?}"
+        );
+        let cx = PlacementContext {
+            near_wait,
+            ..context(now)
+        };
+        let step = placement::decide(
+            [(0, &slow), (1, &slow)].into_iter(),
+            &cx,
+            progress,
+            &settings,
+        );
+        assert_eq!(step, case.step, "{name}");
+    }
+}
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -106,7 +106,7 @@
             }
         }
         let waited = if candidates.no_near {
-            settings.near_wait
+            cx.near_wait
         } else {
             now.since(began)
         };
@@ -377,6 +377,7 @@
             load_unknown: servers.is_load_unknown(&req.service),
             load_slowdown: servers.load_slowdown(&req.service),
             contended: servers.queue(&req.service).order.len() > 1,
+            near_wait: servers.round_trips.near_wait(edge.placement()),
         };
         let mut keys = servers.available(now, &req.service);
         let none_because = servers.restrict_to_regions(edge, req, &mut keys);
--- a/cuminspreadd/src/edge/probe.rs
+++ b/cuminspreadd/src/edge/probe.rs
@@ -53,7 +53,7 @@
     server.probed_since = None;
     let cause = match probed {
         Ok(Ok((health, is_new_connection))) if health.server.as_ref().is_none_or(|s| *s == id) => {
-            let service = server.entry.service.clone();
+            let (service, near) = (server.entry.service.clone(), server.state.near);
             match health.load {
                 Some(load) => servers.record_load(now, key, load, Some(health.healthy)),
                 None => servers.record_no_load(now, &service),
@@ -72,6 +72,8 @@
             }
             if is_new_connection {
                 servers.record_connected(now, key);
+            } else {
+                servers.round_trips.record(near, now.since(sent_at));
             }
             edge.metrics.count_probe("answered");
             return ProbeResult::Answered;
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -21,8 +21,8 @@
 use cuminspread::coordination::hedging::Hedging;
 use cuminspread::coordination::hold_off::HoldOff;
 use cuminspread::coordination::placement::{
-    AttemptEnd, LoadReporting, LoadSlowdown, PlacementContext, PlacementSettings, ServerLoad,
-    ServerState,
+    AttemptEnd, LoadReporting, LoadSlowdown, PlacementContext, PlacementSettings, RoundTrips,
+    ServerLoad, ServerState,
 };
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::reachability::Reachability;
@@ -98,6 +98,8 @@
     daemons: usize,
     queues: HashMap<Name, ServiceQueue>,
     slowdown: HashMap<Name, LoadSlowdown>,
+    /// Round-trip times of probes.
+    pub round_trips: RoundTrips,
     /// Whether the servers of each service report their load.
     load_reporting: HashMap<Name, LoadReporting>,
     probe_rates: HashMap<Name, DecayingRate>,
@@ -395,6 +397,7 @@
             daemons: 1,
             queues: HashMap::new(),
             slowdown: HashMap::new(),
+            round_trips: RoundTrips::default(),
             load_reporting: HashMap::new(),
             probe_rates: HashMap::new(),
             subset_sizes: HashMap::new(),
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -445,6 +445,7 @@
         load_unknown: false,
         load_slowdown: 1.0,
         contended: false,
+        near_wait: Duration::ZERO,
     };
     let score = server.score(&cx, &PlacementSettings::default());
     assert!(score.is_finite(), "{score}");
