placement: the fleet learns how many requests at once its servers answer fastest

The slowdown was estimated from all answers of one daemon with a weight of 0.03 each, and arithmetic means, which the answers of servers that turn slow meanwhile pull together: 1.3 to 1.4 after hundreds of answers, when the burst is over.

Hypothesis: known early and by all daemons, the slowdown keeps servers where their throughput is highest.

Change: the estimate uses answers of servers whose load was reported at most 2 ms before, means of logarithms, and counts; daemons tell each other the sums since the last report, at most every second and every 0.1 s times the size of the fleet (about 45 bytes for a service, only while servers are nearly full); one that is new gets all that is known. It needs 12 answers of each kind and is forgotten with a half-life of five minutes. A server gets no request that makes it nearly full if its last slots raise its throughput by less than a tenth; the second of two slots, at 1.7, still raises it by 0.18. Format 6: older daemons ignore the new message with a line in their log, and neither send nor use it.

--- a/cuminspread/src/coordination/placement.rs
+++ b/cuminspread/src/coordination/placement.rs
@@ -25,7 +25,9 @@
 
 pub use distance::RoundTrips;
 pub use load_reporting::LoadReporting;
-pub use load_slowdown::LoadSlowdown;
+pub use load_slowdown::{
+    LoadSlowdown, SlowdownSamples, TimeRatios, slowdown_report_interval, useful_slots,
+};
 pub use server_state::{AttemptEnd, PlacementContext, ServerLoad, ServerState};
 pub use settings::PlacementSettings;
 pub use subset::{PROBE_RATE_HALF_LIFE, subset_size};
--- a/cuminspread/src/coordination/placement/server_state.rs
+++ b/cuminspread/src/coordination/placement/server_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::load_slowdown::LoadSlowdown;
+use super::load_slowdown::{LoadSlowdown, useful_slots};
 use super::settings::PlacementSettings;
 use crate::state::time::Mono;
 
@@ -42,6 +42,8 @@
     had_free_slot: bool,
     /// The server became nearly full with this request.
     nearly_full: bool,
+    /// The server reported its load right before.
+    had_exact_load: bool,
 }
 
 /// Weighted mean that decays to a baseline.
@@ -183,9 +185,8 @@
     }
 
     /// Whether the last report is so new that a probe would add nothing.
-    pub fn is_fresh(&self, now: Mono, settings: &PlacementSettings) -> bool {
-        self.load
-            .is_some_and(|(at, _)| now.since(at) <= settings.fresh_age)
+    pub fn is_fresh(&self, now: Mono, max_age: Duration) -> bool {
+        self.load.is_some_and(|(at, _)| now.since(at) <= max_age)
     }
 
     /// Whether its load is known, as far as the servers of its service report it.
@@ -263,6 +264,7 @@
             expected,
             had_free_slot: self.free_slots(cx.now, settings) > 0,
             nearly_full: self.is_nearly_full(cx.now, settings),
+            had_exact_load: self.is_fresh(cx.now, settings.exact_age),
         });
         self.sent_since_report += 1;
     }
@@ -293,10 +295,12 @@
                     return None;
                 }
                 let mut ratio = took.as_secs_f32() / request.expected.as_secs_f32().max(0.001);
-                load_slowdown.record(ratio, request.nearly_full);
+                if request.had_exact_load {
+                    load_slowdown.record(now, ratio, request.nearly_full);
+                }
                 if request.nearly_full {
                     // The slowdown of all nearly full servers says nothing about this server.
-                    ratio /= load_slowdown.factor();
+                    ratio /= load_slowdown.factor(now);
                 }
                 self.latency_ratio
                     .record(now, half_life, ratio.clamp(0.3, 10.0), 0.3);
@@ -348,7 +352,7 @@
             0.0
         };
         // Without a fresh report the server may be slow or full.
-        let reported = cx.load_unknown || self.is_fresh(cx.now, settings);
+        let reported = cx.load_unknown || self.is_fresh(cx.now, settings.fresh_age);
         if cx.contended && !reported {
             return -1.0;
         }
@@ -357,6 +361,14 @@
         if !cx.load_unknown && self.free_slots(cx.now, settings) < 0 {
             return -1.0;
         }
+        // One more request would take more throughput than it gives.
+        let useful = useful_slots(self.slots, cx.load_slowdown, settings);
+        if !cx.load_unknown
+            && useful < self.slots
+            && self.free_slots(cx.now, settings) <= i64::from(self.slots - useful)
+        {
+            return -1.0;
+        }
         let in_time = if reported {
             in_time
         } else {
--- a/cuminspread/src/coordination/placement/settings.rs
+++ b/cuminspread/src/coordination/placement/settings.rs
@@ -40,6 +40,8 @@
     pub max_near_wait_fraction: f32,
     /// Age up to which a report counts as new, so that the server isn't probed again.
     pub fresh_age: Duration,
+    /// Age up to which a report shows the load at which a request begins to run.
+    pub exact_age: Duration,
     /// Age from which a report is ignored.
     pub max_report_age: Duration,
     /// Half-life of the latency ratio and the error rate of a server.
@@ -83,6 +85,7 @@
             max_near_wait: Duration::from_millis(60),
             max_near_wait_fraction: 0.25,
             fresh_age: Duration::from_millis(12),
+            exact_age: Duration::from_millis(2),
             max_report_age: Duration::from_millis(100),
             half_life: Duration::from_secs(2),
             first_avoid: Duration::from_millis(250),
--- a/cuminspread/src/protocol/gossip.rs
+++ b/cuminspread/src/protocol/gossip.rs
@@ -23,6 +23,7 @@
 
 use crate::coordination::catalog::{Revision, RevisionedChange, ServerEntry};
 use crate::coordination::evacuation::Evacuations;
+use crate::coordination::placement::SlowdownSamples;
 use crate::coordination::reader::ReadAttempt;
 use crate::state::Name;
 use crate::state::routing::{Routing, RoutingDelta};
@@ -34,7 +35,7 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
 /// Format of the messages that this daemon sends.
-pub const FORMAT: u8 = 5;
+pub const FORMAT: u8 = 6;
 /// First format with [`Additions`].
 const ADDITIONS_FORMAT: u8 = 5;
 
@@ -290,6 +291,18 @@
     pub relay: bool,
 }
 
+/// Report of how much longer requests take at nearly full servers of a service.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct SlowdownReport {
+    /// Service.
+    pub service: Name,
+    /// What the sender has measured since its last report, or all that it knows.
+    pub samples: SlowdownSamples,
+    /// Whether the receiver forwards it to the peers of its data centre.
+    pub relay: bool,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -316,6 +329,8 @@
     Reach(ReachReport),
     /// Emptied data centres that the sender knows; since format 5.
     Evacuations(EvacuationReport),
+    /// Response times at nearly full servers; since format 6.
+    Slowdown(SlowdownReport),
 }
 
 /// Asks a peer for all changes after the sender's versions.
--- a/cuminspread/tests/placement.rs
+++ b/cuminspread/tests/placement.rs
@@ -636,7 +636,7 @@
             let end = AttemptEnd::Answered { failed: false };
             server.record_end(now, 1, end, &mut slowdown, &settings);
         }
-        let factor = slowdown.factor();
+        let factor = slowdown.factor(now);
         assert!(case.measured.contains(&factor), "{}: {factor}", case.factor);
     }
 }
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -20,10 +20,11 @@
 use cuminspread::coordination::forwarding::ForwardPeer;
 use cuminspread::coordination::leaving::{LeavingServers, LeavingSource};
 use cuminspread::coordination::mesh::Mesh;
+use cuminspread::coordination::placement::slowdown_report_interval;
 use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
 use cuminspread::protocol::gossip::{
     CrashReport, Daemon, GossipMessage, LeavingReport, LimitReport, PullResponse, ReachReport,
-    ReadAttemptReport, Versions,
+    ReadAttemptReport, SlowdownReport, Versions,
 };
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
@@ -91,6 +92,8 @@
     /// Time until which missing entries may have lapsed during an outage of the store.
     lapse_until: Mono,
     next_tick: Mono,
+    /// When this daemon tells its peers next how much nearly full servers slow down.
+    next_slowdown_report: Mono,
 }
 
 /// The encoded response to a pull.
@@ -183,6 +186,7 @@
             last_read: None,
             lapse_until: Mono::default(),
             next_tick: edge.now(),
+            next_slowdown_report: edge.now(),
         };
         Ok(Arc::new(Self {
             edge,
@@ -412,6 +416,47 @@
         }
     }
 
+    /// Reports how much longer requests take at nearly full servers.
+    fn report_slowdowns(&self, state: &mut SyncState, now: Mono) {
+        if now < state.next_slowdown_report {
+            return;
+        }
+        state.next_slowdown_report = now + slowdown_report_interval(state.mesh.size());
+        let reports = self.edge.servers().take_slowdown_samples(now);
+        for (service, samples) in reports {
+            self.send_to_fleet(state, |relay| {
+                GossipMessage::Slowdown(SlowdownReport {
+                    service: service.clone(),
+                    samples,
+                    relay,
+                })
+            });
+        }
+    }
+
+    /// Tells a daemon that is new how much longer requests take at nearly full servers.
+    fn send_slowdowns(&self, to: SocketAddr, now: Mono) {
+        for (service, samples) in self.edge.servers().slowdown_summaries(now) {
+            let report = SlowdownReport {
+                service,
+                samples,
+                relay: false,
+            };
+            self.gossip.send(to, &GossipMessage::Slowdown(report));
+        }
+    }
+
+    fn handle_slowdown_report(&self, report: SlowdownReport) {
+        let now = self.edge.now();
+        self.edge
+            .servers()
+            .record_slowdown(now, &report.service, &report.samples);
+        if report.relay {
+            let relay = false;
+            self.forward(&GossipMessage::Slowdown(SlowdownReport { relay, ..report }));
+        }
+    }
+
     /// Computes this daemon's parts of servers' limits, and reports what it has learned of them.
     fn update_limits(&self, state: &mut SyncState, now: Mono) {
         let reports = {
@@ -446,6 +491,7 @@
         }
         self.update_limits(&mut state, now);
         self.report_reach(&mut state, now);
+        self.report_slowdowns(&mut state, now);
         let leaving = self.update_leaving(&mut state, now);
         let targets = state.mesh.hello_targets(now);
         if !targets.is_empty() {
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -137,7 +137,7 @@
         match message {
             GossipMessage::Hello(daemon) => {
                 let mut state = self.lock();
-                record_peer(&mut state, now, &daemon);
+                let is_new = record_peer(&mut state, now, &daemon);
                 let peers = GossipMessage::Peers(state.mesh.sample_peers(now, &daemon.data_centre));
                 let evacuations = evacuation::report(&state);
                 drop(state);
@@ -146,6 +146,9 @@
                     self.gossip.send(from, &evacuations);
                 }
                 self.gossip.send(from, &self.probe_rate_message(now));
+                if is_new {
+                    self.send_slowdowns(from, now);
+                }
             }
             GossipMessage::Peers(peers) => {
                 let mut state = self.lock();
@@ -176,6 +179,7 @@
             GossipMessage::ServerLimit(report) => self.handle_limit_report(report),
             GossipMessage::ServerLeaving(report) => self.handle_leaving_report(report),
             GossipMessage::Reach(report) => self.handle_reach_report(report),
+            GossipMessage::Slowdown(report) => self.handle_slowdown_report(report),
             GossipMessage::ProbeRate(rate) => {
                 let mut servers = self.edge.servers();
                 servers.record_peer_probes(rate as f32, &self.edge.edge_settings);
@@ -532,10 +536,13 @@
     }
 }
 
-fn record_peer(state: &mut SyncState, now: Mono, daemon: &Daemon) {
-    if state.mesh.record_heard(now, daemon) {
+/// Returns whether the daemon is new or has started again.
+fn record_peer(state: &mut SyncState, now: Mono, daemon: &Daemon) -> bool {
+    let is_new = state.mesh.record_heard(now, daemon);
+    if is_new {
         log_new_peers(std::slice::from_ref(daemon));
     }
+    is_new
 }
 
 /// Logs peers in one line, so that a daemon that learns of hundreds at its start doesn't use up its
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -375,7 +375,7 @@
             target_left: (req.arrived + req.route.latency_target).since(now),
             time_left: req.deadline.since(now),
             load_unknown: servers.is_load_unknown(&req.service),
-            load_slowdown: servers.load_slowdown(&req.service),
+            load_slowdown: servers.load_slowdown(now, &req.service),
             contended: servers.queue(&req.service).order.len() > 1,
             near_wait: servers.round_trips.near_wait(edge.placement()),
         };
@@ -432,7 +432,7 @@
                 continue;
             }
             let fresh_age = edge.placement().fresh_age;
-            if is_checked(fresh_age) && server.state.is_fresh(now, edge.placement()) {
+            if is_checked(fresh_age) && server.state.is_fresh(now, fresh_age) {
                 probed.push(key);
             } else if server
                 .probed_since
--- a/fuzz/src/seeds.rs
+++ b/fuzz/src/seeds.rs
@@ -6,11 +6,13 @@
 
 use cuminspread::coordination::catalog::{Change, Revision, RevisionedChange, ServerEntry};
 use cuminspread::coordination::evacuation::Evacuations;
+use cuminspread::coordination::placement::{SlowdownSamples, TimeRatios};
 use cuminspread::coordination::reader::ReadAttempt;
 use cuminspread::protocol::envelope::{Envelope, EnvelopeHeader};
 use cuminspread::protocol::gossip::{
     self, CrashReport, Daemon, GossipMessage, KnownPeer, LeavingReport, LimitReport, PullResponse,
-    ReachReport, ReadAttemptReport, RegistryUpdate, RoutingUpdate, StoreUpdate, Versions,
+    ReachReport, ReadAttemptReport, RegistryUpdate, RoutingUpdate, SlowdownReport, StoreUpdate,
+    Versions,
 };
 use cuminspread::protocol::member::{ListMark, Liveness, MemberMessage, MemberUpdate};
 use cuminspread::protocol::message::Message;
@@ -82,7 +84,7 @@
 }
 
 /// Reports of daemons about requests, servers and services.
-fn reports(daemon: &Daemon) -> [(&'static str, GossipMessage); 5] {
+fn reports(daemon: &Daemon) -> [(&'static str, GossipMessage); 6] {
     let crash = CrashReport {
         id: 1,
         fingerprint: 2,
@@ -114,12 +116,27 @@
         lost: true,
         relay: true,
     };
+    let slowdown = SlowdownReport {
+        service: "orders".into(),
+        samples: SlowdownSamples {
+            spare: TimeRatios {
+                responses: 40,
+                mean_ln: 0.02,
+            },
+            nearly_full: TimeRatios {
+                responses: 9,
+                mean_ln: 0.53,
+            },
+        },
+        relay: true,
+    };
     [
         ("crash", GossipMessage::Crash(crash)),
         ("read-attempt", GossipMessage::ReadAttempt(attempt)),
         ("limit", GossipMessage::ServerLimit(limit)),
         ("announced-end", GossipMessage::ServerLeaving(leaving)),
         ("reach", GossipMessage::Reach(reach)),
+        ("slowdown", GossipMessage::Slowdown(slowdown)),
     ]
 }
 
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -8,7 +8,9 @@
 use cuminspread::coordination::crash::{Crash, CrashDetector, CrashSettings};
 use cuminspread::coordination::evacuation::Evacuations;
 use cuminspread::coordination::mesh::{Mesh, MeshSettings};
-use cuminspread::coordination::placement::{PlacementContext, PlacementSettings, ServerState};
+use cuminspread::coordination::placement::{
+    LoadSlowdown, PlacementContext, PlacementSettings, ServerState,
+};
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::reader::{ReadSchedule, ReaderSettings};
 use cuminspread::coordination::server_limit::{ServerLimit, held_rate};
@@ -241,6 +243,11 @@
             let peer = mesh.forward_address(report.daemon, report.started_ms);
             assert!(peer.is_none(), "the mesh is empty");
         }
+        GossipMessage::Slowdown(report) => {
+            let mut slowdown = LoadSlowdown::default();
+            slowdown.merge(NOW, &report.samples);
+            assert!((1.0..=4.0).contains(&slowdown.factor(NOW)));
+        }
         GossipMessage::ServerLimit(report) => {
             let rate = report.rate.filter(|r| r.is_finite() && *r >= 0.0);
             let me = mesh.me().clone();
