placement: a nearly full server costs less where its last slots are of use

Change: 0.1 instead of 0.4. Where the last slots are of no use a server doesn't get the request at all, so the cost only ranks servers. A test of a two-slot server fails with the old value.

--- a/cuminspread/src/coordination/placement/settings.rs
+++ b/cuminspread/src/coordination/placement/settings.rs
@@ -92,7 +92,7 @@
             max_avoid: Duration::from_secs(2),
             lost_race_ratio: 3.0,
             nearly_full_fraction: 0.8,
-            nearly_full_cost: 0.4,
+            nearly_full_cost: 0.1,
             max_contended_slowness: 2.0,
             full_factor: 0.4,
             cold_factor: 2.0,
--- a/cuminspread/tests/load_slowdown.rs
+++ b/cuminspread/tests/load_slowdown.rs
@@ -134,6 +134,14 @@
             target_left_ms: 500,
             sent: true,
         },
+        Case {
+            what: "the second of two slots still gives some, and waiting would be too late",
+            slots: 2,
+            running: 1,
+            slowdown: 1.7,
+            target_left_ms: 215,
+            sent: true,
+        },
     ];
     let settings = PlacementSettings::default();
     let now = at(1000);
