--- a/cuminspread/src/coordination/placement/load_slowdown.rs
+++ b/cuminspread/src/coordination/placement/load_slowdown.rs
@@ -7,8 +7,8 @@
 //! over within seconds, so the slowdown is estimated from few answers: from those to requests whose
 //! server reported its load right before, by the mean of the logarithms, on which the few answers
 //! that take several times as long have little effect. Each daemon alone gets few of them, so
-//! daemons tell each other what they have measured since the last report. Without new answers the estimate is
-//! forgotten, since nothing would show that it no longer holds.
+//! daemons tell each other what they have measured since the last report. Without new answers the
+//! estimate is forgotten, since nothing would show that it no longer holds.
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -26,7 +26,6 @@
 const HALF_LIFE: Duration = Duration::from_secs(300);
 /// Least part by which the last slots of a server must raise its throughput to be used.
 const MIN_GAIN: f32 = 0.1;
-
 /// Change of the factor that is logged.
 const NOTABLE_CHANGE: f32 = 0.1;
 /// Range of a ratio that is recorded; others count as its ends.
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -5,6 +5,7 @@
 //! never held across an await.
 
 mod evacuation;
+mod slowdowns;
 mod store;
 mod sync;
 
@@ -20,11 +21,10 @@
 use cuminspread::coordination::forwarding::ForwardPeer;
 use cuminspread::coordination::leaving::{LeavingServers, LeavingSource};
 use cuminspread::coordination::mesh::Mesh;
-use cuminspread::coordination::placement::slowdown_report_interval;
 use cuminspread::coordination::reader::{ReadAttempt, ReadSchedule, Role};
 use cuminspread::protocol::gossip::{
     CrashReport, Daemon, GossipMessage, LeavingReport, LimitReport, PullResponse, ReachReport,
-    ReadAttemptReport, SlowdownReport, Versions,
+    ReadAttemptReport, Versions,
 };
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
@@ -416,47 +416,6 @@
         }
     }
 
-    /// Reports how much longer requests take at nearly full servers.
-    fn report_slowdowns(&self, state: &mut SyncState, now: Mono) {
-        if now < state.next_slowdown_report {
-            return;
-        }
-        state.next_slowdown_report = now + slowdown_report_interval(state.mesh.size());
-        let reports = self.edge.servers().take_slowdown_samples(now);
-        for (service, samples) in reports {
-            self.send_to_fleet(state, |relay| {
-                GossipMessage::Slowdown(SlowdownReport {
-                    service: service.clone(),
-                    samples,
-                    relay,
-                })
-            });
-        }
-    }
-
-    /// Tells a daemon that is new how much longer requests take at nearly full servers.
-    fn send_slowdowns(&self, to: SocketAddr, now: Mono) {
-        for (service, samples) in self.edge.servers().slowdown_summaries(now) {
-            let report = SlowdownReport {
-                service,
-                samples,
-                relay: false,
-            };
-            self.gossip.send(to, &GossipMessage::Slowdown(report));
-        }
-    }
-
-    fn handle_slowdown_report(&self, report: SlowdownReport) {
-        let now = self.edge.now();
-        self.edge
-            .servers()
-            .record_slowdown(now, &report.service, &report.samples);
-        if report.relay {
-            let relay = false;
-            self.forward(&GossipMessage::Slowdown(SlowdownReport { relay, ..report }));
-        }
-    }
-
     /// Computes this daemon's parts of servers' limits, and reports what it has learned of them.
     fn update_limits(&self, state: &mut SyncState, now: Mono) {
         let reports = {
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -6,6 +6,7 @@
 mod server_notices;
 mod service_queue;
 mod shares;
+mod slowdowns;
 mod streamed;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -22,7 +23,7 @@
 use cuminspread::coordination::hold_off::HoldOff;
 use cuminspread::coordination::placement::{
     AttemptEnd, LoadReporting, LoadSlowdown, PlacementContext, PlacementSettings, RoundTrips,
-    ServerLoad, ServerState, SlowdownSamples,
+    ServerLoad, ServerState,
 };
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::reachability::Reachability;
@@ -598,41 +599,6 @@
         self.queues.entry(service.clone()).or_default()
     }
 
-    /// Factor by which processing takes longer at nearly full servers of a service; 1 if unknown.
-    pub fn load_slowdown(&self, now: Mono, service: &str) -> f32 {
-        let slowdown = self.slowdown.get(service);
-        slowdown.map_or(1.0, |s| s.factor(now))
-    }
-
-    /// Records how much longer requests take at nearly full servers, as a peer has measured it.
-    pub fn record_slowdown(&mut self, now: Mono, service: &Name, samples: &SlowdownSamples) {
-        if self.by_service.contains_key(service) {
-            let slowdown = self.slowdown.entry(service.clone()).or_default();
-            slowdown.merge(now, samples);
-        }
-    }
-
-    /// What this daemon has measured of that and not yet told its peers; logs notable changes.
-    pub fn take_slowdown_samples(&mut self, now: Mono) -> Vec<(Name, SlowdownSamples)> {
-        for (service, slowdown) in &mut self.slowdown {
-            if let Some(factor) = slowdown.take_change(now) {
-                log::info!("event=nearly_full_slowdown service={service} factor={factor:.2}");
-            }
-        }
-        let services = self.slowdown.iter_mut();
-        services
-            .filter_map(|(service, s)| Some((service.clone(), s.take_unsent()?)))
-            .collect()
-    }
-
-    /// All that this daemon knows of that.
-    pub fn slowdown_summaries(&self, now: Mono) -> Vec<(Name, SlowdownSamples)> {
-        let services = self.slowdown.iter();
-        services
-            .filter_map(|(service, s)| Some((service.clone(), s.summary(now)?)))
-            .collect()
-    }
-
     /// Usual processing time of a route's requests; at least 1 ms.
     pub fn processing_time(&self, route: &Route) -> Duration {
         let mean = self.processing_times.get(&route.name).copied();
