Test: a probe that is turned away is waited for with time between the requests

Cause: a daemon that has just started has saved no probes, so the first request may probe only the other server; the test's next requests follow within 12 ms, use that server's report and probe nothing, for ever on an idle machine.

Change: 20 ms between these requests.

--- a/cuminspreadd/tests/edge/pause.rs
+++ b/cuminspreadd/tests/edge/pause.rs
@@ -89,6 +89,8 @@
     };
     server.set_probe_pause("3");
     wait_for("a probe", async || {
+        // A request right after another one uses the report of the other server without a probe.
+        sleep(Duration::from_millis(20)).await;
         status(&daemon).await;
         server.probes() > 0
     })
