--- a/review/standin/crashing_order.rs
+++ b/review/standin/crashing_order.rs
@@ -169,7 +169,7 @@
         let i = daemon.index;
         record.line(&format!("sigterm daemon={i}"));
         disturbed.lock().unwrap()[i] = record.now();
-        daemon.signal("TERM");
+        daemon.terminate();
         std::thread::sleep(Duration::from_millis(1500));
         ready.lock().unwrap().retain(|d| *d != i);
         daemon.wait_end(Duration::from_millis(4500));
--- a/review/standin/daemon.rs
+++ b/review/standin/daemon.rs
@@ -8,6 +8,10 @@
 
 use crate::http::Conn;
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// Ports of all daemons; each daemon has a loopback address of its own.
 #[derive(Debug, Clone, Copy)]
 pub struct Ports {
@@ -21,7 +25,8 @@
 impl Ports {
     /// Ports that are free on the addresses of this many daemons.
     pub fn find(daemons: usize) -> Option<Self> {
-        let start = 20_000 + (std::process::id() % 2_000) as u16 * 12;
+        // Below the ports that the system gives to outgoing connections.
+        let start = 11_000 + (std::process::id() % 1_700) as u16 * 12;
         let mut free = (start..start + 400).filter(|port| {
             (0..daemons).all(|i| {
                 let address = SocketAddr::new(ip(i), *port);
@@ -111,12 +116,12 @@
         }
     }
 
-    /// Sends a signal by its name, such as `TERM`.
-    pub fn signal(&self, name: &str) {
+    /// Sends SIGTERM, as the platform does to stop a process.
+    pub fn terminate(&self) {
+        const SIGTERM: i32 = 15;
         if let Some(child) = &self.child {
-            let _ = Command::new("kill")
-                .args(["-s", name, &child.id().to_string()])
-                .status();
+            // SAFETY: has no effect on memory; the child has not been waited for, so the id is its.
+            unsafe { kill(child.id() as i32, SIGTERM) };
         }
     }
 
--- a/review/standin/late_copy.rs
+++ b/review/standin/late_copy.rs
@@ -153,7 +153,7 @@
                 while record.now() < PLAY {
                     let turn = std::time::Instant::now();
                     record.line(&format!("sigterm daemon={i}"));
-                    daemon.signal("TERM");
+                    daemon.terminate();
                     // Two questions a second apart take a daemon out.
                     std::thread::sleep(Duration::from_millis(1500));
                     ready.lock().unwrap().retain(|d| *d != i);
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -198,6 +198,7 @@
             .line(&format!("server={} turns cold", self.settings.id));
         *self.cold_until.lock().unwrap() = Some(Instant::now() + time);
         self.cold_arrivals.lock().unwrap().clear();
+        self.register();
     }
 
     fn cold_left(&self) -> Option<Duration> {
