edge: an open response ends soon after its route's timeout

Cause: the time by which a caller gets a final response ended with the start of a streamed one. From then on the daemon waited for the server's next bytes, or for the caller to read, without a bound. Logs couldn't tell these apart, so event=response_cut and cumin_responses_cut_total name what a response waited for.

Change: coordination::delivery says until when a response may be open: its route's timeout and 0.2 s, or 0.2 s from its start if that is later, as after a pause of the process. The bound is kept where the caller's connection is served, so it covers every reason: streamed, forwarded, without a length, a caller that doesn't read. A body of a request may arrive until the servers' deadline, counted from the arrival of the head; it was 10 s from the start of reading. To an HTTP/1.0 caller a response without a length ends with its connection, which is reset now if the response is cut.

Tests: delivery::*.

An older daemon in the fleet is not affected: no message or format changes.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -7,7 +7,8 @@
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`], [`evacuation`] and [`leaving`] for peers and servers with [`placement`],
 //! [`wait_queue`], [`hedging`], [`probe_limiter`], [`weighted_round_robin`], [`hold_off`],
-//! [`cold_server`], [`reachability`], [`forwarding`], [`read_ahead`] and [`refusal`] for requests.
+//! [`cold_server`], [`reachability`], [`forwarding`], [`read_ahead`], [`delivery`] and [`refusal`] for
+//! requests.
 //! [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
@@ -17,6 +18,7 @@
 pub mod cold_server;
 pub mod crash;
 pub mod decaying_rate;
+pub mod delivery;
 pub mod dispatch;
 pub mod evacuation;
 pub mod event;
--- a/cuminspreadd/src/edge/admission.rs
+++ b/cuminspreadd/src/edge/admission.rs
@@ -38,6 +38,14 @@
 }
 
 impl Rejection {
+    /// Id of the request; `None` if it may have none.
+    pub fn id(&self) -> Option<&Name> {
+        match self {
+            Self::Bad(..) => None,
+            Self::NoRoute(id) | Self::Refused(id, _) => Some(id),
+        }
+    }
+
     /// Label of the reason.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -5,11 +5,15 @@
 //! that may run beside the ones in front. When `hyper` gets to such a request, its service takes the
 //! call that was started. `hyper` sees exactly the bytes that arrived, in their order.
 //!
+//! A response is followed from its head until all of it was handed to the system, so that it can be ended
+//! when it is overdue.
+//!
 //! While a request is served, `hyper` waits for the end of the connection. As it holds no bytes of
 //! later requests, it learns at once that the caller has left, and drops the connection with all
 //! calls.
 
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -19,13 +23,14 @@
 
 use bytes::{Buf as _, BytesMut};
 use cuminspread::coordination::read_ahead::Class;
+use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::request_scan::{
     Framing, RequestFollower, Scan, ScannedHead, scan_head,
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{self, Sleep, sleep, sleep_until};
 
 use super::ahead::{Start, StartedCall, Starter};
 
@@ -78,6 +83,38 @@
     pub ambiguous: bool,
 }
 
+/// A response that is written to the caller.
+#[derive(Debug, Clone)]
+pub struct OpenResponse {
+    /// Id of the request; empty if it couldn't be read.
+    pub id: Name,
+    /// Route of the request; empty if none matched.
+    pub route: Name,
+    /// Latest time for its last byte.
+    pub due: time::Instant,
+    /// The end of the connection ends the body, as the caller can't read chunks.
+    pub ends_with_connection: bool,
+}
+
+/// Whom an open response waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Awaited {
+    /// The server, or the peer that the request was forwarded to.
+    Server,
+    /// The caller, which doesn't read.
+    Caller,
+}
+
+impl Awaited {
+    /// Value of `cause` in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Server => "server",
+            Self::Caller => "caller",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct State {
     starter: Starter,
@@ -93,6 +130,12 @@
     serving: bool,
     /// No request is started any more, since the connection closes.
     closing: bool,
+    /// The last response, until all its bytes were handed to the system.
+    response: Option<OpenResponse>,
+    /// Whether the body of that response hasn't ended.
+    in_body: bool,
+    /// Whether the system takes no more bytes, since the caller doesn't read them.
+    write_blocked: bool,
     /// Bytes that `hyper` hasn't got.
     buf: BytesMut,
     /// Complete heads at the start of `buf`.
@@ -131,6 +174,7 @@
         let waker = {
             let mut state = self.lock();
             state.serving = false;
+            state.in_body = false;
             state.waker.take()
         };
         if let Some(waker) = waker {
@@ -138,6 +182,40 @@
         }
     }
 
+    /// Records the response that is about to be written.
+    pub fn begin_response(&self, response: OpenResponse) {
+        let mut state = self.lock();
+        state.response = Some(response);
+        state.in_body = true;
+    }
+
+    /// Waits until a response is overdue; returns it and whom it waits for.
+    ///
+    /// Only to be polled after the connection and in its task: nothing else begins or ends responses, so
+    /// this future isn't woken when that happens.
+    pub async fn overdue(&self) -> (OpenResponse, Awaited) {
+        let mut timer: Option<Pin<Box<Sleep>>> = None;
+        poll_fn(|cx| {
+            let state = self.lock();
+            let Some(response) = &state.response else {
+                return Poll::Pending;
+            };
+            let due = response.due;
+            let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
+            if timer.deadline() != due {
+                timer.as_mut().reset(due);
+            }
+            ready!(timer.as_mut().poll(cx));
+            let awaited = if state.write_blocked {
+                Awaited::Caller
+            } else {
+                Awaited::Server
+            };
+            Poll::Ready((response.clone(), awaited))
+        })
+        .await
+    }
+
     /// Lets the connection close after the response that is about to be written, unless requests
     /// behind it were started; returns whether it closes.
     pub fn close_if_last(&self) -> bool {
@@ -323,6 +401,9 @@
             front_class: None,
             serving: false,
             closing: false,
+            response: None,
+            in_body: false,
+            write_blocked: false,
             buf: BytesMut::new(),
             ahead: VecDeque::new(),
             scanned: 0,
@@ -366,6 +447,19 @@
     }
 }
 
+impl Drop for CallerStream {
+    /// Resets the connection if its end would complete a truncated response.
+    fn drop(&mut self) {
+        let state = self.connection.lock();
+        let response = state.response.as_ref();
+        if response.is_some_and(|r| r.ends_with_connection)
+            && let Err(e) = self.inner.set_zero_linger()
+        {
+            log::error!("event=response_not_reset cause={:?}", e.to_string());
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -398,7 +492,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.connection.lock().write_blocked = polled.is_pending();
+        polled
     }
 
     fn poll_write_vectored(
@@ -406,15 +502,23 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.connection.lock().write_blocked = polled.is_pending();
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
         self.inner.is_write_vectored()
     }
 
+    /// `hyper` flushes the stream once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        ready!(Pin::new(&mut self.inner).poll_flush(cx))?;
+        let mut state = self.connection.lock();
+        if !state.in_body {
+            state.response = None;
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -13,27 +13,30 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cuminspread::coordination::delivery::{DELIVERY_GRACE, deliver_by};
 use cuminspread::coordination::refusal::RefusalReason;
 use cuminspread::protocol::header::Outcome;
 use cuminspread::state::Name;
 use cuminspread::state::routing::Route;
 use cuminspread::state::time::Mono;
 use cuminspread_platform::headers::read_request;
-use http::header::{CONNECTION, HOST};
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
+use http::{HeaderValue, Method, Request, StatusCode, Version};
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::admission::{self, Admission, Rejection};
 use super::ahead::{StartedCall, Starter};
-use super::caller_stream::{CallerConnection, CallerStream, FrontRequest, StreamLimits};
+use super::caller_stream::{
+    Awaited, CallerConnection, CallerStream, FrontRequest, OpenResponse, StreamLimits,
+};
 use super::forward::{ADDED_FIELDS, ADDED_HEAD_BYTES, mark_response, take_fields};
 use super::request::{Origin, Reply};
 use super::response::{GuardedBody, HttpResponse, rejection_response, reply_response};
@@ -42,8 +45,6 @@
 
 /// Pause after a failed accept; the usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time within which a request's body must arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Smallest read buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8192;
 /// Time after the daemon's start for which requests wait for the first configuration and servers,
@@ -152,11 +153,17 @@
         })
     };
     let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut overdue = pin!(connection.overdue());
     let mut closing = false;
     let ended = loop {
         let check_in = head_left(&edge, &connection).min(idle_left(&edge, &activity));
         tokio::select! {
+            biased;
             ended = conn.as_mut() => break ended,
+            (response, awaited) = &mut overdue => {
+                cut_response(&edge, &response, awaited, sender.origin);
+                return;
+            }
             () = sleep(check_in), if !closing => {
                 let stalled = head_left(&edge, &connection) == Duration::ZERO;
                 let idle = idle_left(&edge, &activity) == Duration::ZERO;
@@ -184,6 +191,19 @@
     }
 }
 
+/// Records that a response is cut, since it isn't written in time.
+fn cut_response(edge: &Edge, response: &OpenResponse, awaited: Awaited, origin: Origin) {
+    let cause = awaited.label();
+    edge.metrics.count_cut_response(cause);
+    log::warn!(
+        "event=response_cut id={} route={} from={} cause={cause} late_us={}",
+        response.id,
+        response.route,
+        origin.label(),
+        response.due.elapsed().as_micros(),
+    );
+}
+
 /// A request that has no complete response; records its end when dropped.
 struct ActivityGuard {
     edge: Arc<Edge>,
@@ -236,15 +256,21 @@
 ) -> HttpResponse {
     let at_arrival = *phase.borrow();
     let front = connection.take_front();
+    let reads_chunks = req.version() != Version::HTTP_10;
     let handled = handle(edge, req, front, at_arrival, sender).await;
     let (outcome, reason) = match &handled {
-        Ok(reply) => (reply.outcome(), reply.reason()),
+        Ok(replied) => (replied.reply.outcome(), replied.reply.reason()),
         Err(rejection) => (Outcome::NotRun, rejection.reason()),
     };
+    let mut open = open_response(edge, &handled);
     let mut res = match handled {
-        Ok(reply) => reply_response(reply),
+        Ok(replied) => reply_response(edge, &replied.id, replied.reply),
         Err(rejection) => rejection_response(edge, rejection),
     };
+    open.ends_with_connection = !reads_chunks
+        && res.body().size_hint().exact().is_none()
+        && !res.headers().contains_key(CONTENT_LENGTH);
+    connection.begin_response(open);
     if sender.origin == Origin::Peer {
         mark_response(res.headers_mut(), outcome, reason);
     }
@@ -260,6 +286,35 @@
     res
 }
 
+/// The response that begins now.
+fn open_response(edge: &Edge, handled: &Result<Replied, Rejection>) -> OpenResponse {
+    let now = edge.now();
+    let (id, route, due) = match handled {
+        Ok(replied) => {
+            let due = deliver_by(replied.arrived, replied.route.timeout, now);
+            (replied.id.clone(), replied.route.name.clone(), due)
+        }
+        Err(rejection) => {
+            let id = rejection.id().cloned().unwrap_or_default();
+            (id, Name::default(), now + DELIVERY_GRACE)
+        }
+    };
+    OpenResponse {
+        id,
+        route,
+        due: edge.instant(due),
+        ends_with_connection: false,
+    }
+}
+
+/// The reply to a request that found a route.
+struct Replied {
+    id: Name,
+    route: Arc<Route>,
+    arrived: Mono,
+    reply: Reply,
+}
+
 /// Who sent a request, and from where.
 #[derive(Debug, Clone, Copy)]
 struct Sender {
@@ -273,7 +328,7 @@
     front: Option<FrontRequest>,
     phase: StopPhase,
     sender: Sender,
-) -> Result<Reply, Rejection> {
+) -> Result<Replied, Rejection> {
     let arrived = front.as_ref().map_or_else(|| edge.now(), |f| f.arrived);
     let ambiguous = front.as_ref().is_none_or(|f| f.ambiguous)
         && req.headers().contains_key(http::header::TRANSFER_ENCODING);
@@ -288,7 +343,13 @@
     let id = fields.id.clone();
     if let Some(call) = take_started(front, &req, &id) {
         let (route, reply) = call.into_reply();
-        return Ok(wait_reply(edge, reply, &route, &id).await);
+        let reply = wait_reply(edge, reply, &route, &id).await;
+        return Ok(Replied {
+            id,
+            route,
+            arrived,
+            reply,
+        });
     }
     let in_flight = edge.track_request();
     // Only a peer's request may have these; a caller's are dropped.
@@ -336,12 +397,18 @@
     let (head, body) = req.into_parts();
     let limits = BodyLimits {
         size: table.routing().limits.max_body,
-        time: BODY_TIMEOUT.min(admission.time()),
+        arrives_by: edge.instant(arrived + admission.time()),
     };
     let (body, buffered) = read_body(edge, body, &limits, &id).await?;
     let inbound = admission.into_request(head, body);
     let reply = admission::start(edge, inbound, buffered)?;
-    Ok(wait_reply(edge, reply, &route, &id).await)
+    let reply = wait_reply(edge, reply, &route, &id).await;
+    Ok(Replied {
+        id,
+        route,
+        arrived,
+        reply,
+    })
 }
 
 /// Takes the call of a request if it was started before the request was in front.
@@ -406,7 +473,7 @@
 struct BodyLimits {
     /// Largest size, in bytes.
     size: usize,
-    time: Duration,
+    arrives_by: Instant,
 }
 
 /// Reads a complete body; its bytes count as buffered as they arrive.
@@ -418,7 +485,7 @@
 ) -> Result<(Bytes, BufferedBytes), Rejection> {
     let mut buffered = BufferedBytes::new(edge);
     let read = collect(body, limits.size, &mut buffered, id);
-    let body = match timeout(limits.time, read).await {
+    let body = match timeout_at(limits.arrives_by, read).await {
         Ok(body) => body?,
         Err(_elapsed) => {
             return Err(Rejection::Bad(StatusCode::REQUEST_TIMEOUT, "body_timeout"));
--- a/cuminspreadd/src/edge/metrics.rs
+++ b/cuminspreadd/src/edge/metrics.rs
@@ -40,6 +40,12 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct ForwardLabels {
@@ -74,6 +80,7 @@
     attempt_time: Family<AttemptLabels, Counter<f64, AtomicU64>>,
     store_reads: Family<ResultLabels, Counter>,
     started_ahead: Counter,
+    responses_cut: Family<CauseLabels, Counter>,
     /// Values that are set just before the metrics are written.
     pub gauges: Gauges,
 }
@@ -195,6 +202,7 @@
         let attempt_time = Family::<AttemptLabels, Counter<f64, AtomicU64>>::default();
         let store_reads = Family::<ResultLabels, Counter>::default();
         let started_ahead = Counter::default();
+        let responses_cut = Family::<CauseLabels, Counter>::default();
         let gauges = Gauges::default();
         let r = &mut registry;
         r.register("requests", "Requests by outcome", requests.clone());
@@ -219,6 +227,11 @@
             "Requests started before those in front on their connections were answered",
             started_ahead.clone(),
         );
+        r.register(
+            "responses_cut",
+            "Responses that were begun and cut, by what ended them",
+            responses_cut.clone(),
+        );
         gauges.register(r);
         Self {
             registry,
@@ -230,6 +243,7 @@
             attempt_time,
             store_reads,
             started_ahead,
+            responses_cut,
             gauges,
         }
     }
@@ -296,6 +310,13 @@
         self.started_ahead.inc();
     }
 
+    /// Counts a response that was begun and cut.
+    pub fn count_cut_response(&self, cause: &'static str) {
+        self.responses_cut
+            .get_or_create(&CauseLabels { cause })
+            .inc();
+    }
+
     /// Encodes all metrics as text.
     ///
     /// # Errors
--- a/cuminspreadd/src/edge/response.rs
+++ b/cuminspreadd/src/edge/response.rs
@@ -1,6 +1,7 @@
 //! Responses to callers.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use cuminspread::coordination::refusal::{self, RefusalReason, ServiceState};
 use cuminspread::state::Name;
 use cuminspread::transport::upstream::exchange::{Chunk, Exchange};
-use futures_util::stream;
+use futures_util::{StreamExt as _, stream};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use http::response::Parts;
 use http::{HeaderValue, Response, StatusCode};
@@ -64,7 +65,7 @@
 }
 
 /// Response that passes on a reply.
-pub fn reply_response(reply: Reply) -> HttpResponse {
+pub fn reply_response(edge: &Arc<Edge>, id: &Name, reply: Reply) -> HttpResponse {
     match reply {
         Reply::Buffered(head, body) => {
             let mut res = with_head(head, Full::new(body).map_err(Into::into).boxed_unsync());
@@ -72,7 +73,10 @@
             res.headers_mut().remove(CONTENT_LENGTH);
             res
         }
-        Reply::Streaming(head, prefix, rest) => with_head(head, streaming_body(prefix, rest)),
+        Reply::Streaming(head, prefix, rest) => {
+            let body = streaming_body(Arc::clone(edge), id.clone(), prefix, rest);
+            with_head(head, body)
+        }
         Reply::Refused {
             reason,
             retry_after,
@@ -92,25 +96,32 @@
 
 /// Body that starts with the bytes read so far; an error while it streams closes the caller's
 /// connection, so that the caller doesn't take a truncated body for a complete one.
-fn streaming_body(prefix: Bytes, rest: Exchange) -> UnsyncBoxBody<Bytes, BoxError> {
-    let frames = stream::unfold((Some(prefix), Some(rest)), |(prefix, rest)| async move {
-        if let Some(prefix) = prefix {
-            return Some((Ok(Frame::data(prefix)), (None, rest)));
-        }
-        let mut rest = rest?;
-        match std::future::poll_fn(|cx| rest.poll_chunk(cx)).await {
-            Ok(Chunk::Data(data)) => Some((Ok(Frame::data(data)), (None, Some(rest)))),
-            Ok(Chunk::End) => {
-                rest.finish();
-                None
-            }
-            Err(e) => {
-                log::warn!("event=answer_cut_short {e}");
-                Some((Err(BoxError::from(e)), (None, None)))
+fn streaming_body(
+    edge: Arc<Edge>,
+    id: Name,
+    prefix: Bytes,
+    rest: Exchange,
+) -> UnsyncBoxBody<Bytes, BoxError> {
+    let first = stream::iter([Ok(Frame::data(prefix))]);
+    let others = stream::unfold(Some(rest), move |rest| {
+        let (edge, id) = (Arc::clone(&edge), id.clone());
+        async move {
+            let mut rest = rest?;
+            match std::future::poll_fn(|cx| rest.poll_chunk(cx)).await {
+                Ok(Chunk::Data(data)) => Some((Ok(Frame::data(data)), Some(rest))),
+                Ok(Chunk::End) => {
+                    rest.finish();
+                    None
+                }
+                Err(e) => {
+                    edge.metrics.count_cut_response("broken");
+                    log::warn!("event=response_cut id={id} cause=broken {e}");
+                    Some((Err(BoxError::from(e)), None))
+                }
             }
         }
     });
-    StreamBody::new(frames).boxed_unsync()
+    StreamBody::new(first.chain(others)).boxed_unsync()
 }
 
 /// Response to a request that is answered without a server.
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -12,6 +12,8 @@
 mod crash;
 #[path = "edge/cut_daemons.rs"]
 mod cut_daemons;
+#[path = "edge/delivery.rs"]
+mod delivery;
 #[path = "edge/evacuation.rs"]
 mod evacuation;
 #[path = "edge/fixture.rs"]
