edge: a stop waits for responses that are forwarded to peers

Callers of a daemon that reaches no server lost the rest of a download when the peer that had taken the request got SIGTERM: it ended 2.8 s later, with more than 3 s of its grace period left.

Cause: a stop waited for the listener of callers and for the requests in flight, and a request is in flight only until its reply begins; a streamed reply to a peer was known to neither. Ruled out: the close of idle connections (the request is served on that connection, so it isn't idle) and the forwarding daemon (whole with a peer that goes on).

Change: a stop waits for the listener of peers as well, until the same end of the grace period.

Test: delivery::a_response_that_moves_is_completed, case "while the peer that sent it stops", failed before and passes; so do the other 21 tests of delivery, stop, forwarding and cut_daemons.

--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -38,7 +38,8 @@
     admin: SocketAddr,
     readiness: SocketAddr,
     forward: Option<SocketAddr>,
-    ingress: JoinHandle<()>,
+    /// Listeners for callers and for peers, which end with their last connection.
+    ingress: Vec<JoinHandle<()>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -71,13 +72,16 @@
         )));
         tasks.push(tokio::spawn(sweep(Arc::clone(&edge))));
         tasks.push(tokio::spawn(reachability::watch(Arc::clone(&edge))));
-        if let Some((listener, _)) = forward {
-            let (edge, phase) = (Arc::clone(&edge), phase_rx.clone());
-            let serve = ingress::serve(edge, listener, phase, Origin::Peer);
-            tasks.push(tokio::spawn(serve));
-        }
-        let ingress = ingress::serve(Arc::clone(&edge), front_listener, phase_rx, Origin::Caller);
-        let ingress = tokio::spawn(ingress);
+        let forward_listener = forward.map(|(listener, _)| (listener, Origin::Peer));
+        let listeners = [(front_listener, Origin::Caller)];
+        let ingress = listeners
+            .into_iter()
+            .chain(forward_listener)
+            .map(|(listener, origin)| {
+                let serve = ingress::serve(Arc::clone(&edge), listener, phase_rx.clone(), origin);
+                tokio::spawn(serve)
+            })
+            .collect();
         let (name, store) = (&edge.settings.name, edge.edge_settings.store);
         log::info!(
             "event=started name={name} data_centre={} front={front} admin={admin_address} peer={} \
@@ -143,7 +147,8 @@
         self.phase.send_replace(StopPhase::Closed);
         let end = began + edge.edge_settings.grace.saturating_sub(EXIT_MARGIN);
         let complete = loop {
-            if self.ingress.is_finished() && edge.in_flight() == 0 {
+            let finished = self.ingress.iter().all(JoinHandle::is_finished);
+            if finished && edge.in_flight() == 0 {
                 break true;
             }
             if Instant::now() >= end {
@@ -161,8 +166,7 @@
 
     /// Aborts all tasks at once, as a crash would.
     pub fn kill(self) {
-        self.ingress.abort();
-        for task in &self.tasks {
+        for task in self.ingress.iter().chain(&self.tasks) {
             task.abort();
         }
     }
--- a/cuminspreadd/tests/edge/delivery.rs
+++ b/cuminspreadd/tests/edge/delivery.rs
@@ -295,7 +295,7 @@
         name: &'static str,
         body: PacedBody,
         forwarded: bool,
-        /// The daemon stops.
+        /// The daemon that the caller uses stops, or the peer that it forwards requests to.
         stops: bool,
     }
     // Longer than idle connections stay open during a stop, and shorter than the grace period.
@@ -333,6 +333,12 @@
             stops: true,
             ..base
         },
+        Case {
+            name: "while the peer that sent it stops",
+            forwarded: true,
+            stops: true,
+            ..base
+        },
     ];
     for case in cases {
         let fixture = Fixture::new(1, route(true, timeout)).await;
