edge: only a response that names the request proves that it has not run

Cause: the field that says "not run" was read before the id was required. Ruled out: bytes behind a complete response (they close an idle connection), and a copy that bears the right id (a request is sent to no server twice).

Change: a response without the request's id is no answer to it, whatever its status; the request may have run then. The stand-in's refusals name the request, as PROTOCOL says of targets ("Targets echo X-Cuminspread-Attempt-Id in their responses").

Tried and reverted: to count a probe's answer that names a request as a failed probe. It closes the connection, but takes the server's only route away: 503 no_server where the request was served before.

--- a/cuminspreadd/src/edge/attempt.rs
+++ b/cuminspreadd/src/edge/attempt.rs
@@ -88,8 +88,11 @@
         }
     };
     let fields = platform::read_response(head.status, &head.headers, &outbound.id);
-    if fields.id_matches == Some(false) {
-        return AttemptResult::Unknown("foreign_answer");
+    // A server may send an earlier response once more, also a refusal. Only the id tells.
+    match fields.id_matches {
+        Some(true) => {}
+        Some(false) => return AttemptResult::Unknown("foreign_answer"),
+        None => return AttemptResult::Unknown("unnamed_answer"),
     }
     let mut body = BytesMut::new();
     if fields.not_run {
@@ -106,7 +109,7 @@
     if fields.encoded {
         return AttemptResult::Unknown("altered");
     }
-    if !fields.signed || fields.id_matches.is_none() {
+    if !fields.signed {
         return AttemptResult::Unknown("unsigned");
     }
     let limit = edge.settings.servers.stream_above;
--- a/cuminspreadd/tests/edge/responses.rs
+++ b/cuminspreadd/tests/edge/responses.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cuminspread_platform::standin::client::ClientRequest;
-use cuminspread_platform::standin::server::{Behaviour, StandInServer};
+use cuminspread_platform::standin::server::{Behaviour, RefusalCopy, StandInServer};
 use cuminspread_platform::standin::store::{HEAD_TIMEOUT_S, RouteRow, config_text};
 use cuminspreadd::edge::run::EdgeDaemon;
 use cuminspreadd::settings::{CallerSettings, Settings};
@@ -145,6 +145,45 @@
     }
 }
 
+/// Guards against orders that callers are told have not run, or that run at a second server, since a
+/// server sends an earlier refusal once more.
+#[tokio::test]
+async fn a_copy_of_an_earlier_refusal_is_no_proof() {
+    struct Case {
+        copy: RefusalCopy,
+        idempotent: bool,
+        runs: usize,
+    }
+    let copies = [
+        RefusalCopy::Probe,
+        RefusalCopy::Request,
+        RefusalCopy::Misdirected,
+    ];
+    let cases = copies.into_iter().flat_map(|copy| {
+        [(false, 1), (true, 2)].map(|(idempotent, runs)| Case {
+            copy,
+            idempotent,
+            runs,
+        })
+    });
+    for case in cases {
+        let route = RouteRow {
+            idempotent: case.idempotent,
+            ..RouteRow::default()
+        };
+        let fixture = Fixture::new(2, route).await;
+        let daemon = fixture.start_daemon().await;
+        for server in &fixture.servers {
+            server.set_behaviour(Behaviour::RefusalCopy(case.copy));
+        }
+        let res = send(&daemon, &ClientRequest::default()).await;
+        let name = format!("{:?}, idempotent={}", case.copy, case.idempotent);
+        assert_eq!(res.status, 502, "{name}");
+        assert_eq!(fixture.runs(), case.runs, "{name}");
+        daemon.kill();
+    }
+}
+
 #[tokio::test]
 async fn a_request_reaches_its_server_unchanged() {
     let fixture = Fixture::new(1, RouteRow::default()).await;
