Test: odd entries of the registry, and responses that are cut anywhere

- One odd entry among those of the servers (very deeply nested, with a number too large, with a port out of range), and the machines that read the list ended or stopped following it. 26 such entries: two daemons in one process, and the program as a process of its own, stay ready, learn of a new server after each and serve it.
The decoder limits its depth, fails on numbers that don't fit, and an entry that isn't decoded is left out alone.
- A server stops in the middle of its answer's head and closes, and callers get a 200 with a short body that looks whole.
A response cut after each of its bytes: every caller gets 502 until the whole response is there; each of these requests reached a server.
The HTTP client takes the end of a connection within a head for an error.

Tests: odd_entries::*, responses::a_response_that_is_cut_anywhere_is_never_passed_on_as_complete; no code changes.

--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -26,6 +26,8 @@
 mod leaving;
 #[path = "edge/load.rs"]
 mod load;
+#[path = "edge/odd_entries.rs"]
+mod odd_entries;
 #[path = "edge/pause.rs"]
 mod pause;
 #[path = "edge/placement.rs"]
--- a/cuminspreadd/tests/edge/program.rs
+++ b/cuminspreadd/tests/edge/program.rs
@@ -16,7 +16,8 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cuminspreadd");
 
-fn settings(fixture: &Fixture, front: u16) -> String {
+/// Settings of a program with this store.
+pub fn settings(fixture: &Fixture, front: u16) -> String {
     format!(
         "[daemon]\nname = vm-1\ndata_centre = here\n\n[listen]\nfront = 127.0.0.1:{front}\n\n\
          [store]\naddress = {}\n\n[peers]\nseeds =\nfirst_start = false\n\n\
@@ -84,7 +85,7 @@
 }
 
 /// Starts the program with these settings; the channel receives the lines that it logs.
-fn start(name: &str, text: &str) -> (Child, mpsc::UnboundedReceiver<String>, PathBuf) {
+pub fn start(name: &str, text: &str) -> (Child, mpsc::UnboundedReceiver<String>, PathBuf) {
     let path = temp_path(name);
     fs::write(&path, text).unwrap();
     let mut child = Command::new(PROGRAM)
@@ -104,7 +105,7 @@
 }
 
 /// Waits for the next line that contains `what`.
-async fn line_with(rx: &mut mpsc::UnboundedReceiver<String>, what: &str) -> String {
+pub async fn line_with(rx: &mut mpsc::UnboundedReceiver<String>, what: &str) -> String {
     let read = async {
         while let Some(line) = rx.recv().await {
             if line.contains(what) {
--- a/cuminspreadd/tests/edge/responses.rs
+++ b/cuminspreadd/tests/edge/responses.rs
@@ -145,6 +145,44 @@
     }
 }
 
+/// Guards against a success with an empty or short body since a server stops within its response's head.
+#[tokio::test]
+async fn a_response_that_is_cut_anywhere_is_never_passed_on_as_complete() {
+    // Less than a complete response has.
+    const MIN_LEN: usize = 150;
+    // So many that one without recent failures gets each request.
+    const SERVERS: usize = 32;
+    let route = RouteRow {
+        idempotent: false,
+        ..RouteRow::default()
+    };
+    let fixture = Fixture::new(SERVERS, route).await;
+    let daemon = fixture.start_daemon().await;
+    let set_behaviour = |behaviour| {
+        for server in &fixture.servers {
+            server.set_behaviour(behaviour);
+        }
+    };
+    for len in 0.. {
+        set_behaviour(Behaviour::Answer);
+        wait_for("an answer", async || {
+            send(&daemon, &ClientRequest::default()).await.status == 200
+        })
+        .await;
+        let runs = fixture.runs();
+        set_behaviour(Behaviour::CutAfter(len));
+        let res = send(&daemon, &ClientRequest::default()).await;
+        assert_eq!(fixture.runs(), runs + 1, "cut after {len} bytes");
+        if res.status == 200 {
+            assert_eq!(res.text(), "answer to attempt-1", "cut after {len} bytes");
+            assert!(len > MIN_LEN, "cut after {len} bytes");
+            break;
+        }
+        assert_eq!(res.status, 502, "cut after {len} bytes");
+    }
+    daemon.kill();
+}
+
 /// Guards against orders that callers are told have not run, or that run at a second server, since a
 /// server sends an earlier refusal once more.
 #[tokio::test]
