upstream: a request waits 0.1 s at most for the body of a refusal

Callers got 504 at their route's timeout for an order that a server had refused, if the body of the refusal didn't come.

Cause: the body is read only so that the connection can be used again, and the request waited for it without a bound. Ruled out: a refusal that is recognised too late (its fields are read with the head).

Change: Exchange::discard reads a body that nobody needs for 0.1 s and 64 KiB at most, else it closes the connection. Folder mode had this; refusals of servers and of peers had copies without the time.

--- a/cuminspread/src/transport/upstream/exchange.rs
+++ b/cuminspread/src/transport/upstream/exchange.rs
@@ -4,6 +4,7 @@
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::response::Parts;
@@ -14,6 +15,11 @@
 
 use super::{Connection, Failure, Step};
 
+/// Largest body that is read only to use its connection again.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// Longest time for reading such a body; the request waits for it.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A response whose head was read, and whose body is still to be read.
 #[derive(Debug)]
 pub struct Exchange {
@@ -131,6 +137,16 @@
         Ok(false)
     }
 
+    /// Reads the rest of a body that nobody needs, so that its connection can be used again; closes the
+    /// connection if the rest is long or slow.
+    pub async fn discard(mut self) {
+        let mut buf = BytesMut::new();
+        let read = self.read_up_to(MAX_DISCARDED_BYTES, &mut buf);
+        if let Ok(Ok(true)) = tokio::time::timeout(DISCARD_TIMEOUT, read).await {
+            self.finish();
+        }
+    }
+
     /// Releases the connection to its [`super::Upstream`]; call it only after [`Chunk::End`].
     pub fn finish(self) {
         drop(self.body);
--- a/cuminspreadd/src/attempt.rs
+++ b/cuminspreadd/src/attempt.rs
@@ -259,7 +259,7 @@
         load: probe::load_of(&head.headers),
     });
     if spec.service.refused_statuses.contains(&status) {
-        discard_body(exchange).await;
+        exchange.discard().await;
         return Ok(AttemptResult::Failed {
             ending: Ending::Refused,
             failure: None,
@@ -297,17 +297,6 @@
     })
 }
 
-/// Reads the rest of a refusal so that its connection can be reused; gives up on long or slow ones.
-async fn discard_body(mut exchange: Exchange) {
-    const MAX_REFUSAL_BYTES: usize = 64 << 10;
-    const TIMEOUT: Duration = Duration::from_millis(100);
-    let mut buf = BytesMut::new();
-    let read = exchange.read_up_to(MAX_REFUSAL_BYTES, &mut buf);
-    if let Ok(Ok(true)) = tokio::time::timeout(TIMEOUT, read).await {
-        exchange.finish();
-    }
-}
-
 /// Checks that a response which names an attempt names this one.
 fn check_attempt_id(
     engine: &Engine,
--- a/cuminspreadd/src/edge/attempt.rs
+++ b/cuminspreadd/src/edge/attempt.rs
@@ -16,9 +16,6 @@
 use super::state::Edge;
 use crate::headers;
 
-/// Largest body of a refusal; after a longer one the connection is closed instead of reused.
-const MAX_REFUSAL_BYTES: usize = 64 << 10;
-
 /// Detail of an attempt whose connection broke before any response.
 pub const BROKEN: &str = "broken";
 
@@ -94,11 +91,8 @@
         Some(false) => return AttemptResult::Unknown("foreign_answer"),
         None => return AttemptResult::Unknown("unnamed_answer"),
     }
-    let mut body = BytesMut::new();
     if fields.not_run {
-        if let Ok(true) = exchange.read_up_to(MAX_REFUSAL_BYTES, &mut body).await {
-            exchange.finish();
-        }
+        exchange.discard().await;
         let reason = if fields.misdirected {
             "misdirected"
         } else {
@@ -112,6 +106,7 @@
     if !fields.signed {
         return AttemptResult::Unknown("unsigned");
     }
+    let mut body = BytesMut::new();
     let limit = edge.settings.servers.stream_above;
     match exchange.read_up_to(limit, &mut body).await {
         Ok(true) => {
--- a/cuminspreadd/src/edge/forward.rs
+++ b/cuminspreadd/src/edge/forward.rs
@@ -39,8 +39,6 @@
 pub const ADDED_FIELDS: usize = 8;
 /// Bytes that such a head may have beyond the same limit.
 pub const ADDED_HEAD_BYTES: usize = 1024;
-/// Largest body of a refusal.
-const MAX_REFUSAL_BYTES: usize = 4096;
 
 /// Peers that take requests of this daemon, and the connections to them.
 #[derive(Debug, Default)]
@@ -226,18 +224,16 @@
     let outcome = head.headers.remove(OUTCOME);
     let reason = head.headers.remove(REASON);
     let outcome = outcome.as_ref().and_then(|v| v.to_str().ok());
-    let mut body = BytesMut::new();
     if outcome == Some(Outcome::NotRun.label()) {
         may_run.store(false, Ordering::Relaxed);
-        if let Ok(true) = exchange.read_up_to(MAX_REFUSAL_BYTES, &mut body).await {
-            exchange.finish();
-        }
+        exchange.discard().await;
         let (end, detail) = refusal_end(reason.as_ref());
         return PeerReply::NotRun(end, detail);
     }
     if outcome != Some(Outcome::Ran.label()) {
         return PeerReply::Unknown("peer_failed");
     }
+    let mut body = BytesMut::new();
     match exchange
         .read_up_to(edge.settings.servers.stream_above, &mut body)
         .await
--- a/cuminspreadd/tests/edge/delivery.rs
+++ b/cuminspreadd/tests/edge/delivery.rs
@@ -400,3 +400,17 @@
         assert!(!ended.looks_complete(), "{name}");
     }
 }
+
+/// Guards against requests that wait for the body of a refusal until their time is over.
+#[tokio::test]
+async fn a_refusal_holds_once_its_head_has_come() {
+    let fixture = Fixture::new(2, route(false, ROUTE_TIMEOUT)).await;
+    let daemon = fixture.start_daemon().await;
+    fixture.servers[0].set_behaviour(Behaviour::ShedStalled);
+    fixture.servers[1].set_behaviour(Behaviour::ShedStalled);
+    let began = Instant::now();
+    let res = send(&daemon, &download()).await;
+    assert_eq!(res.status, 503, "no server has run it");
+    assert!(began.elapsed() < END_BOUND, "{:?}", began.elapsed());
+    daemon.kill();
+}
