edge: a pause of the process extends the bound of an open response

A response of 8 MB that was open while the process was paused beyond its bound was cut when the process went on, with 3.9 MB written: the connection writes what the system takes at once, and then the timer is due.

Cause: the bound counted the time in which nothing could be written. Ruled out: data at hand that isn't written (the connection is polled before the timer).

--- a/cuminspread/src/coordination/delivery.rs
+++ b/cuminspread/src/coordination/delivery.rs
@@ -18,3 +18,9 @@
 pub fn deliver_by(arrived: Mono, timeout: Duration, begins: Mono) -> Mono {
     (arrived + timeout).max(begins) + DELIVERY_GRACE
 }
+
+/// New bound of an open response if `due` passed while the process was paused, so that nothing could be
+/// written; `None` if it was not.
+pub fn extend_after_pause(due: Mono, now: Mono) -> Option<Mono> {
+    (now.since(due) > DELIVERY_GRACE).then(|| now + DELIVERY_GRACE)
+}
--- a/cuminspreadd/src/edge/ahead.rs
+++ b/cuminspreadd/src/edge/ahead.rs
@@ -12,6 +12,7 @@
 use http::header::{CONNECTION, EXPECT, HOST, UPGRADE};
 use http::{HeaderMap, Method, Request, Uri, Version};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use super::admission::{self, Admission};
 use super::forward::take_fields;
@@ -83,6 +84,11 @@
         self.edge.now()
     }
 
+    /// Converts a time since the daemon's start for Tokio's timers.
+    pub fn instant(&self, at: Mono) -> Instant {
+        self.edge.instant(at)
+    }
+
     /// Classifies a request by its complete head.
     pub fn classify(&self, head: &[u8], max_fields: usize) -> Class {
         let table = self.edge.table();
--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -22,6 +22,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf as _, BytesMut};
+use cuminspread::coordination::delivery::extend_after_pause;
 use cuminspread::coordination::read_ahead::Class;
 use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
@@ -30,7 +31,7 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{self, Sleep, sleep, sleep_until};
+use tokio::time::{Sleep, sleep, sleep_until};
 
 use super::ahead::{Start, StartedCall, Starter};
 
@@ -91,7 +92,9 @@
     /// Route of the request; empty if none matched.
     pub route: Name,
     /// Latest time for its last byte.
-    pub due: time::Instant,
+    pub due: Mono,
+    /// Whether that was extended, which happens once.
+    pub extended: bool,
     /// The end of the connection ends the body, as the caller can't read chunks.
     pub ends_with_connection: bool,
 }
@@ -196,22 +199,21 @@
     pub async fn overdue(&self) -> (OpenResponse, Awaited) {
         let mut timer: Option<Pin<Box<Sleep>>> = None;
         poll_fn(|cx| {
-            let state = self.lock();
-            let Some(response) = &state.response else {
-                return Poll::Pending;
-            };
-            let due = response.due;
-            let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
-            if timer.deadline() != due {
-                timer.as_mut().reset(due);
+            let mut state = self.lock();
+            while let Some(due) = state.response.as_ref().map(|r| r.due) {
+                let at = state.starter.instant(due);
+                let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(at)));
+                if timer.deadline() != at {
+                    timer.as_mut().reset(at);
+                }
+                ready!(timer.as_mut().poll(cx));
+                if !state.extend_after_pause()
+                    && let Some(response) = state.response.clone()
+                {
+                    return Poll::Ready((response, state.awaited()));
+                }
             }
-            ready!(timer.as_mut().poll(cx));
-            let awaited = if state.write_blocked {
-                Awaited::Caller
-            } else {
-                Awaited::Server
-            };
-            Poll::Ready((response.clone(), awaited))
+            Poll::Pending
         })
         .await
     }
@@ -269,6 +271,34 @@
             .count()
     }
 
+    fn awaited(&self) -> Awaited {
+        if self.write_blocked {
+            Awaited::Caller
+        } else {
+            Awaited::Server
+        }
+    }
+
+    /// Extends the bound of the open response once if it passed while the process was paused.
+    fn extend_after_pause(&mut self) -> bool {
+        let now = self.starter.now();
+        let Some(response) = self.response.as_mut().filter(|r| !r.extended) else {
+            return false;
+        };
+        let Some(due) = extend_after_pause(response.due, now) else {
+            return false;
+        };
+        log::info!(
+            "event=response_extended id={} route={} late_us={}",
+            response.id,
+            response.route,
+            now.since(response.due).as_micros()
+        );
+        response.due = due;
+        response.extended = true;
+        true
+    }
+
     /// Follows bytes that `hyper` gets, up to the end of the request; returns their number.
     fn follow(&mut self, bytes: &[u8]) -> usize {
         let mut used = 0;
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -200,7 +200,7 @@
         response.id,
         response.route,
         origin.label(),
-        response.due.elapsed().as_micros(),
+        edge.now().since(response.due).as_micros(),
     );
 }
 
@@ -302,7 +302,8 @@
     OpenResponse {
         id,
         route,
-        due: edge.instant(due),
+        due,
+        extended: false,
         ends_with_connection: false,
     }
 }
--- a/cuminspreadd/tests/edge/delivery.rs
+++ b/cuminspreadd/tests/edge/delivery.rs
@@ -414,3 +414,25 @@
     assert!(began.elapsed() < END_BOUND, "{:?}", began.elapsed());
     daemon.kill();
 }
+
+/// Guards against cutting what a paused process could not write in time.
+#[tokio::test]
+async fn a_response_that_was_open_during_a_pause_is_completed() {
+    // More than the system buffers for a connection.
+    const BODY_KB: usize = 8 << 10;
+    let fixture = Fixture::new(1, route(true, ROUTE_TIMEOUT)).await;
+    let daemon = fixture.start_daemon().await;
+    fixture.servers[0].set_behaviour(Behaviour::Paced(PacedBody {
+        kb: BODY_KB,
+        ..PacedBody::default()
+    }));
+    let mut caller = Caller::connect(daemon.front()).await;
+    caller.write(download().text().as_bytes()).await;
+    sleep(ROUTE_TIMEOUT / 2).await;
+    // The daemon and its server share the thread of this test.
+    std::thread::sleep(ROUTE_TIMEOUT);
+    let res = caller.read_response(false).await;
+    assert!(res.complete, "{} bytes", res.body.len());
+    assert_eq!(res.body.len(), BODY_KB << 10);
+    daemon.kill();
+}
