folder mode: a caller that doesn't read its response loses its connection

A caller that stopped reading kept its call, its connection and that to the server open for as long as it stayed.

Cause: the deadline of a streamed response is looked at when its next bytes are asked for, and nobody asks while the caller's connection takes none. Ruled out: the service's deadline itself (it ends responses whose server falls silent).

Change: a write that the system doesn't take for callers.write_timeout_ms (10 s by default) fails, which closes the connection. Store mode has a bound of its own and isn't touched.

Test: failures::a_response_that_its_caller_does_not_read_is_given_up; with the bound switched off the call is still open after 2 s.

--- a/cuminspreadd/src/framing.rs
+++ b/cuminspreadd/src/framing.rs
@@ -1,4 +1,5 @@
-//! Inspects the bytes of callers' connections in folder mode, to find requests with ambiguous framing.
+//! Inspects the bytes of callers' connections in folder mode, to find requests with ambiguous framing, and
+//! ends connections whose caller doesn't read its response.
 //!
 //! For a request with both `Content-Length` and `Transfer-Encoding`, `hyper` drops the length, as
 //! RFC 9112, section 6.1 allows, and the service can't see that it was there. Most such requests
@@ -8,11 +9,15 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use cuminspread::transport::request_scan::RequestFollower;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+use crate::settings::CallerSettings;
 
 /// Which of the requests read from a connection are ambiguous; clones share it.
 #[derive(Debug, Clone, Default)]
@@ -38,16 +43,40 @@
     inner: TcpStream,
     requests: RequestFollower,
     ambiguities: Ambiguities,
+    write_timeout: Duration,
+    /// Set while the system takes no more bytes, since the caller doesn't read them.
+    write_stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl InspectedStream {
-    /// Wraps a connection; the limits are those of `hyper`.
-    pub fn new(inner: TcpStream, max_head: usize, max_fields: usize) -> Self {
+    /// Wraps a connection; `max_head` and `max_headers` are those of `hyper`.
+    pub fn new(inner: TcpStream, callers: &CallerSettings) -> Self {
         Self {
             inner,
-            requests: RequestFollower::new(max_head, max_fields),
+            requests: RequestFollower::new(callers.max_head, callers.max_headers),
             ambiguities: Ambiguities::default(),
+            write_timeout: callers.write_timeout,
+            write_stalled: None,
+        }
+    }
+
+    /// Ends a write for which the caller has read nothing for the time-out.
+    fn bound_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        polled: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if polled.is_ready() {
+            self.write_stalled = None;
+            return polled;
         }
+        let timeout = self.write_timeout;
+        let timer = self
+            .write_stalled
+            .get_or_insert_with(|| Box::pin(sleep(timeout)));
+        ready!(timer.as_mut().poll(cx));
+        log::warn!("event=response_cut cause=caller");
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Which of the requests are ambiguous.
@@ -83,7 +112,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.bound_write(cx, polled)
     }
 
     fn poll_write_vectored(
@@ -91,7 +121,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.bound_write(cx, polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/cuminspreadd/src/front.rs
+++ b/cuminspreadd/src/front.rs
@@ -105,7 +105,7 @@
     if callers.max_headers != DEFAULT_MAX_HEADERS {
         builder.max_headers(callers.max_headers);
     }
-    let stream = InspectedStream::new(stream, callers.max_head, callers.max_headers);
+    let stream = InspectedStream::new(stream, callers);
     let ambiguities = stream.ambiguities();
     let service = TowerToHyperService::new(warp::service(filter(front)));
     let service = service_fn(move |req| service.call(stash_head(req, &ambiguities)));
--- a/cuminspreadd/src/settings.rs
+++ b/cuminspreadd/src/settings.rs
@@ -96,6 +96,8 @@
     pub head_timeout: Duration,
     /// Longest time for a request's body to arrive.
     pub body_timeout: Duration,
+    /// Longest time for which a caller may take no byte of a response.
+    pub write_timeout: Duration,
     /// Largest head of a request, in bytes.
     pub max_head: usize,
     /// Greatest number of header fields in a request.
@@ -115,6 +117,7 @@
         Self {
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(10),
             max_head: 32 << 10,
             max_headers: 100,
             max_connections: 2000,
--- a/cuminspreadd/src/settings/file.rs
+++ b/cuminspreadd/src/settings/file.rs
@@ -9,7 +9,7 @@
 //! | `bounds` | `grace_s`, `retry_ratio`, `retry_slack`, `hedge_ratio`, `looks_per_s` |
 //! | `regions` | a data centre each; its region |
 //! | `peers` | `key`, `previous_key`, `seeds`, `first_start`, `core_share` |
-//! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered`, `max_ahead` |
+//! | `callers` | `head_timeout_ms`, `body_timeout_ms`, `write_timeout_ms`, `max_head`, `max_headers`, `max_connections`, `max_buffered`, `max_ahead` |
 //! | `servers` | `connect_timeout_ms`, `live_window_ms`, `idle_timeout_ms`, `probe_timeout_ms`, `cancel_timeout_ms`, `max_head`, `max_headers`, `stream_above`, `source` |
 //! | `traces` | `otlp`, `file` |
 //! | `log` | `level`, `file`, `record` |
@@ -210,6 +210,7 @@
         match key {
             "head_timeout_ms" => c.head_timeout = duration(value)?,
             "body_timeout_ms" => c.body_timeout = duration(value)?,
+            "write_timeout_ms" => c.write_timeout = duration(value)?,
             "max_head" => c.max_head = number(value, 8192..=1 << 20)?,
             "max_headers" => c.max_headers = number(value, 16..=1000)?,
             "max_connections" => c.max_connections = number(value, 1..=1 << 20)?,
@@ -329,7 +330,7 @@
         "platform" => "url",
         "peers" => "key, previous_key, seeds, first_start, core_share",
         "callers" => {
-            "head_timeout_ms, body_timeout_ms, max_head, max_headers, max_connections, \
+            "head_timeout_ms, body_timeout_ms, write_timeout_ms, max_head, max_headers, max_connections, \
              max_buffered, max_ahead"
         }
         "servers" => {
--- a/cuminspreadd/tests/daemon/failures.rs
+++ b/cuminspreadd/tests/daemon/failures.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cuminspread::invariant::Invariant;
+use cuminspread::state::council::ServiceConfig;
 use tokio::net::TcpSocket;
 
 use crate::caller::{Caller, WAIT_TIMEOUT, request, send};
@@ -286,6 +287,38 @@
     assert_eq!(stub.started(), 0);
 }
 
+/// Guards against calls that stay open for as long as their caller doesn't read the response.
+#[tokio::test]
+async fn a_response_that_its_caller_does_not_read_is_given_up() {
+    // More than the system buffers for the connections.
+    const LENGTH: usize = 32 << 20;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LENGTH}\r\n\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.resize(bytes.len() + LENGTH, b'x');
+    let stub = StubServer::start(Behaviour::Raw {
+        bytes,
+        close: false,
+    })
+    .await;
+    let mut settings = fixture::settings();
+    settings.callers.write_timeout = Duration::from_millis(300);
+    let service = ServiceConfig {
+        max_body: 2 * LENGTH as u64,
+        ..fixture::service(&[stub.address])
+    };
+    let daemon = fixture::daemon(settings, service).await;
+    let mut caller = Caller::connect(daemon.front()).await;
+    let text = request("POST", "/orders", "", "paper");
+    caller.write(text.as_bytes()).await;
+    stub.wait_for(1).await;
+    let idle = wait_until_idle(daemon.admin());
+    let ended = tokio::time::timeout(Duration::from_secs(2), idle).await;
+    assert!(ended.is_ok(), "the call is still open");
+    let res = caller.read_response(false).await;
+    assert!(!res.complete, "{} bytes", res.body.len());
+    daemon.kill();
+}
+
 /// When a caller leaves, its non-idempotent request still runs to its end, and the daemon serves
 /// on.
 #[tokio::test]
