--- a/cuminspreadd/tests/edge/delivery.rs
+++ b/cuminspreadd/tests/edge/delivery.rs
@@ -367,6 +367,25 @@
     }
 }
 
+/// Guards against resetting a connection whose end completes its response.
+#[tokio::test]
+async fn a_response_that_ends_with_its_connection_is_completed() {
+    let fixture = Fixture::new(1, route(true, ROUTE_TIMEOUT)).await;
+    let daemon = fixture.start_daemon().await;
+    let body = PacedBody {
+        ms: 300,
+        has_length: false,
+        ..PacedBody::default()
+    };
+    fixture.servers[0].set_behaviour(Behaviour::Paced(body));
+    let stream = TcpStream::connect(daemon.front()).await.unwrap();
+    let text = download().text().replacen("HTTP/1.1", "HTTP/1.0", 1);
+    let ended = read_to_end(stream, &text).await;
+    assert!(ended.looks_complete());
+    assert!(ended.bytes.len() > body.kb << 10);
+    daemon.kill();
+}
+
 /// Guards against a part of a response that looks complete since the daemon ends while it is written.
 #[tokio::test]
 async fn a_response_that_is_open_when_the_daemon_ends_does_not_look_complete() {
