--- a/cuminspread/tests/delivery.rs
+++ b/cuminspread/tests/delivery.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cuminspread::coordination::delivery::{deliver_by, extend_after_pause};
+use cuminspread::coordination::delivery::{Awaited, Delivery, Expiry, OpenResponse, deliver_by};
+use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 
 /// Guards against responses that stay open beyond the route's timeout, and against ready ones that get
@@ -32,42 +33,89 @@
             due_ms: 6200,
         },
     ];
-    let at = |ms| Mono::default() + Duration::from_millis(ms);
     for case in cases {
         let due = deliver_by(at(1000), Duration::from_secs(2), at(case.begins_ms));
         assert_eq!(due, at(case.due_ms), "{}", case.name);
     }
 }
 
+fn at(ms: u64) -> Mono {
+    Mono::default() + Duration::from_millis(ms)
+}
+
+fn response(due_ms: u64) -> OpenResponse {
+    OpenResponse {
+        id: Name::new("a"),
+        route: Name::new("r-1"),
+        due: at(due_ms),
+        ends_with_connection: false,
+    }
+}
+
 /// Guards against cutting what a paused process could not write in time.
 #[test]
-fn a_pause_of_the_process_extends_the_bound() {
+fn a_pause_of_the_process_extends_the_bound_once() {
     struct Case {
         name: &'static str,
-        now_ms: u64,
-        due_ms: Option<u64>,
+        /// Times at which the bound is found to have passed; it is at 3.2 s.
+        found_ms: &'static [u64],
+        extended: usize,
     }
-    // The bound is at 3.2 s.
     let cases = [
         Case {
-            name: "noticed in time",
-            now_ms: 3201,
-            due_ms: None,
+            name: "found in time",
+            found_ms: &[3201],
+            extended: 0,
         },
         Case {
-            name: "noticed late by a busy process",
-            now_ms: 3390,
-            due_ms: None,
+            name: "found late by a busy process",
+            found_ms: &[3390],
+            extended: 0,
         },
         Case {
-            name: "noticed after a pause",
-            now_ms: 5000,
-            due_ms: Some(5200),
+            name: "found after a pause",
+            found_ms: &[5000, 5200],
+            extended: 1,
+        },
+        Case {
+            name: "found after two pauses",
+            found_ms: &[5000, 9000],
+            extended: 1,
         },
     ];
-    let at = |ms| Mono::default() + Duration::from_millis(ms);
     for case in cases {
-        let due = extend_after_pause(at(3200), at(case.now_ms));
-        assert_eq!(due, case.due_ms.map(at), "{}", case.name);
+        let mut delivery = Delivery::default();
+        delivery.begin(response(3200));
+        let steps: Vec<_> = case
+            .found_ms
+            .iter()
+            .map(|ms| delivery.expire(at(*ms)))
+            .collect();
+        let extended = steps.iter().filter(|s| **s == Expiry::Extended).count();
+        assert_eq!(extended, case.extended, "{}", case.name);
+        let cut = Some(&Expiry::Overdue(Awaited::Server));
+        assert_eq!(steps.last(), cut, "{}", case.name);
     }
 }
+
+/// Guards against bounding a response that is complete, or forgetting one that isn't.
+#[test]
+fn a_response_is_open_until_all_of_it_is_with_the_system() {
+    let mut delivery = Delivery::default();
+    assert_eq!(delivery.open(), None);
+    delivery.begin(response(3200));
+    // The first part of the body is written.
+    delivery.record_flush();
+    assert_eq!(delivery.open(), Some(&response(3200)));
+    delivery.record_write(true);
+    delivery.end_body();
+    assert_eq!(
+        delivery.open(),
+        Some(&response(3200)),
+        "its end is still to be written"
+    );
+    assert_eq!(delivery.expire(at(3201)), Expiry::Overdue(Awaited::Caller));
+    delivery.record_write(false);
+    delivery.record_flush();
+    assert_eq!(delivery.open(), None);
+}
--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -22,9 +22,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf as _, BytesMut};
-use cuminspread::coordination::delivery::extend_after_pause;
+use cuminspread::coordination::delivery::{Awaited, Delivery, Expiry, OpenResponse};
 use cuminspread::coordination::read_ahead::Class;
-use cuminspread::state::Name;
 use cuminspread::state::time::Mono;
 use cuminspread::transport::request_scan::{
     Framing, RequestFollower, Scan, ScannedHead, scan_head,
@@ -84,40 +83,6 @@
     pub ambiguous: bool,
 }
 
-/// A response that is written to the caller.
-#[derive(Debug, Clone)]
-pub struct OpenResponse {
-    /// Id of the request; empty if it couldn't be read.
-    pub id: Name,
-    /// Route of the request; empty if none matched.
-    pub route: Name,
-    /// Latest time for its last byte.
-    pub due: Mono,
-    /// Whether that was extended, which happens once.
-    pub extended: bool,
-    /// The end of the connection ends the body, as the caller can't read chunks.
-    pub ends_with_connection: bool,
-}
-
-/// Whom an open response waits for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Awaited {
-    /// The server, or the peer that the request was forwarded to.
-    Server,
-    /// The caller, which doesn't read.
-    Caller,
-}
-
-impl Awaited {
-    /// Value of `cause` in logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Server => "server",
-            Self::Caller => "caller",
-        }
-    }
-}
-
 #[derive(Debug)]
 struct State {
     starter: Starter,
@@ -133,12 +98,7 @@
     serving: bool,
     /// No request is started any more, since the connection closes.
     closing: bool,
-    /// The last response, until all its bytes were handed to the system.
-    response: Option<OpenResponse>,
-    /// Whether the body of that response hasn't ended.
-    in_body: bool,
-    /// Whether the system takes no more bytes, since the caller doesn't read them.
-    write_blocked: bool,
+    delivery: Delivery,
     /// Bytes that `hyper` hasn't got.
     buf: BytesMut,
     /// Complete heads at the start of `buf`.
@@ -177,7 +137,7 @@
         let waker = {
             let mut state = self.lock();
             state.serving = false;
-            state.in_body = false;
+            state.delivery.end_body();
             state.waker.take()
         };
         if let Some(waker) = waker {
@@ -187,9 +147,7 @@
 
     /// Records the response that is about to be written.
     pub fn begin_response(&self, response: OpenResponse) {
-        let mut state = self.lock();
-        state.response = Some(response);
-        state.in_body = true;
+        self.lock().delivery.begin(response);
     }
 
     /// Waits until a response is overdue; returns it and whom it waits for.
@@ -200,17 +158,22 @@
         let mut timer: Option<Pin<Box<Sleep>>> = None;
         poll_fn(|cx| {
             let mut state = self.lock();
-            while let Some(due) = state.response.as_ref().map(|r| r.due) {
-                let at = state.starter.instant(due);
-                let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(at)));
-                if timer.deadline() != at {
-                    timer.as_mut().reset(at);
+            while let Some(response) = state.delivery.open().cloned() {
+                let due = state.starter.instant(response.due);
+                let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
+                if timer.deadline() != due {
+                    timer.as_mut().reset(due);
                 }
                 ready!(timer.as_mut().poll(cx));
-                if !state.extend_after_pause()
-                    && let Some(response) = state.response.clone()
-                {
-                    return Poll::Ready((response, state.awaited()));
+                let now = state.starter.now();
+                match state.delivery.expire(now) {
+                    Expiry::Overdue(awaited) => return Poll::Ready((response, awaited)),
+                    Expiry::Extended => log::info!(
+                        "event=response_extended id={} route={} late_us={}",
+                        response.id,
+                        response.route,
+                        now.since(response.due).as_micros()
+                    ),
                 }
             }
             Poll::Pending
@@ -271,34 +234,6 @@
             .count()
     }
 
-    fn awaited(&self) -> Awaited {
-        if self.write_blocked {
-            Awaited::Caller
-        } else {
-            Awaited::Server
-        }
-    }
-
-    /// Extends the bound of the open response once if it passed while the process was paused.
-    fn extend_after_pause(&mut self) -> bool {
-        let now = self.starter.now();
-        let Some(response) = self.response.as_mut().filter(|r| !r.extended) else {
-            return false;
-        };
-        let Some(due) = extend_after_pause(response.due, now) else {
-            return false;
-        };
-        log::info!(
-            "event=response_extended id={} route={} late_us={}",
-            response.id,
-            response.route,
-            now.since(response.due).as_micros()
-        );
-        response.due = due;
-        response.extended = true;
-        true
-    }
-
     /// Follows bytes that `hyper` gets, up to the end of the request; returns their number.
     fn follow(&mut self, bytes: &[u8]) -> usize {
         let mut used = 0;
@@ -431,9 +366,7 @@
             front_class: None,
             serving: false,
             closing: false,
-            response: None,
-            in_body: false,
-            write_blocked: false,
+            delivery: Delivery::default(),
             buf: BytesMut::new(),
             ahead: VecDeque::new(),
             scanned: 0,
@@ -481,8 +414,10 @@
     /// Resets the connection if its end would complete a truncated response.
     fn drop(&mut self) {
         let state = self.connection.lock();
-        let response = state.response.as_ref();
-        if response.is_some_and(|r| r.ends_with_connection)
+        if state
+            .delivery
+            .open()
+            .is_some_and(|r| r.ends_with_connection)
             && let Err(e) = self.inner.set_zero_linger()
         {
             log::error!("event=response_not_reset cause={:?}", e.to_string());
@@ -523,7 +458,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
-        self.connection.lock().write_blocked = polled.is_pending();
+        let mut state = self.connection.lock();
+        state.delivery.record_write(polled.is_pending());
+        drop(state);
         polled
     }
 
@@ -533,7 +470,9 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        self.connection.lock().write_blocked = polled.is_pending();
+        let mut state = self.connection.lock();
+        state.delivery.record_write(polled.is_pending());
+        drop(state);
         polled
     }
 
@@ -544,10 +483,7 @@
     /// `hyper` flushes the stream once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.inner).poll_flush(cx))?;
-        let mut state = self.connection.lock();
-        if !state.in_body {
-            state.response = None;
-        }
+        self.connection.lock().delivery.record_flush();
         Poll::Ready(Ok(()))
     }
 
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminspread::coordination::delivery::{DELIVERY_GRACE, deliver_by};
+use cuminspread::coordination::delivery::{Awaited, DELIVERY_GRACE, OpenResponse, deliver_by};
 use cuminspread::coordination::refusal::RefusalReason;
 use cuminspread::protocol::header::Outcome;
 use cuminspread::state::Name;
@@ -34,9 +34,7 @@
 
 use super::admission::{self, Admission, Rejection};
 use super::ahead::{StartedCall, Starter};
-use super::caller_stream::{
-    Awaited, CallerConnection, CallerStream, FrontRequest, OpenResponse, StreamLimits,
-};
+use super::caller_stream::{CallerConnection, CallerStream, FrontRequest, StreamLimits};
 use super::forward::{ADDED_FIELDS, ADDED_HEAD_BYTES, mark_response, take_fields};
 use super::request::{Origin, Reply};
 use super::response::{GuardedBody, HttpResponse, rejection_response, reply_response};
@@ -303,7 +301,6 @@
         id,
         route,
         due,
-        extended: false,
         ends_with_connection: false,
     }
 }
