edge: what is done for each chunk, and two copies, of the bound on responses

Found on reading the change once more; no behaviour changes.

- A streamed body cloned the daemon's handle and the request's id for each chunk, for a log line at its end.
The error is mapped once, behind the chunks.
- handle built the same reply with its route and id in two places; wait_reply returns it.
- Whether a response ends with its connection is a function beside the other responses, and isn't set afterwards.
- The two listeners of a daemon are started by a closure instead of a chain of iterators.
- A write is recorded without a guard that is dropped by hand.

--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -458,9 +458,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
-        let mut state = self.connection.lock();
-        state.delivery.record_write(polled.is_pending());
-        drop(state);
+        let blocked = polled.is_pending();
+        self.connection.lock().delivery.record_write(blocked);
         polled
     }
 
@@ -470,9 +469,8 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        let mut state = self.connection.lock();
-        state.delivery.record_write(polled.is_pending());
-        drop(state);
+        let blocked = polled.is_pending();
+        self.connection.lock().delivery.record_write(blocked);
         polled
     }
 
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -20,10 +20,10 @@
 use cuminspread::state::routing::Route;
 use cuminspread::state::time::Mono;
 use cuminspread_platform::headers::read_request;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
+use http::header::{CONNECTION, HOST};
 use http::{HeaderValue, Method, Request, StatusCode, Version};
 use http_body_util::BodyExt as _;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -37,7 +37,7 @@
 use super::caller_stream::{CallerConnection, CallerStream, FrontRequest, StreamLimits};
 use super::forward::{ADDED_FIELDS, ADDED_HEAD_BYTES, mark_response, take_fields};
 use super::request::{Origin, Reply};
-use super::response::{GuardedBody, HttpResponse, rejection_response, reply_response};
+use super::response::{GuardedBody, HttpResponse, has_length, rejection_response, reply_response};
 use super::state::Edge;
 use crate::body_buffer::BodyBuffer;
 
@@ -260,15 +260,15 @@
         Ok(replied) => (replied.reply.outcome(), replied.reply.reason()),
         Err(rejection) => (Outcome::NotRun, rejection.reason()),
     };
-    let mut open = open_response(edge, &handled);
+    let open = open_response(edge, &handled);
     let mut res = match handled {
         Ok(replied) => reply_response(edge, &replied.id, replied.reply),
         Err(rejection) => rejection_response(edge, rejection),
     };
-    open.ends_with_connection = !reads_chunks
-        && res.body().size_hint().exact().is_none()
-        && !res.headers().contains_key(CONTENT_LENGTH);
-    connection.begin_response(open);
+    connection.begin_response(OpenResponse {
+        ends_with_connection: !reads_chunks && !has_length(&res),
+        ..open
+    });
     if sender.origin == Origin::Peer {
         mark_response(res.headers_mut(), outcome, reason);
     }
@@ -284,24 +284,22 @@
     res
 }
 
-/// The response that begins now.
+/// The response that begins now, as one whose length the caller knows.
 fn open_response(edge: &Edge, handled: &Result<Replied, Rejection>) -> OpenResponse {
     let now = edge.now();
-    let (id, route, due) = match handled {
-        Ok(replied) => {
-            let due = deliver_by(replied.arrived, replied.route.timeout, now);
-            (replied.id.clone(), replied.route.name.clone(), due)
-        }
-        Err(rejection) => {
-            let id = rejection.id().cloned().unwrap_or_default();
-            (id, Name::default(), now + DELIVERY_GRACE)
-        }
-    };
-    OpenResponse {
-        id,
-        route,
-        due,
-        ends_with_connection: false,
+    match handled {
+        Ok(replied) => OpenResponse {
+            id: replied.id.clone(),
+            route: replied.route.name.clone(),
+            due: deliver_by(replied.arrived, replied.route.timeout, now),
+            ends_with_connection: false,
+        },
+        Err(rejection) => OpenResponse {
+            id: rejection.id().cloned().unwrap_or_default(),
+            route: Name::default(),
+            due: now + DELIVERY_GRACE,
+            ends_with_connection: false,
+        },
     }
 }
 
@@ -341,13 +339,7 @@
     let id = fields.id.clone();
     if let Some(call) = take_started(front, &req, &id) {
         let (route, reply) = call.into_reply();
-        let reply = wait_reply(edge, reply, &route, &id).await;
-        return Ok(Replied {
-            id,
-            route,
-            arrived,
-            reply,
-        });
+        return Ok(wait_reply(edge, reply, route, id, arrived).await);
     }
     let in_flight = edge.track_request();
     // Only a peer's request may have these; a caller's are dropped.
@@ -400,13 +392,7 @@
     let (body, buffered) = read_body(edge, body, &limits, &id).await?;
     let inbound = admission.into_request(head, body);
     let reply = admission::start(edge, inbound, buffered)?;
-    let reply = wait_reply(edge, reply, &route, &id).await;
-    Ok(Replied {
-        id,
-        route,
-        arrived,
-        reply,
-    })
+    Ok(wait_reply(edge, reply, route, id, arrived).await)
 }
 
 /// Takes the call of a request if it was started before the request was in front.
@@ -426,14 +412,20 @@
 async fn wait_reply(
     edge: &Edge,
     reply: oneshot::Receiver<Reply>,
-    route: &Route,
-    id: &Name,
-) -> Reply {
-    let reply = admission::reply(reply, id).await;
+    route: Arc<Route>,
+    id: Name,
+    arrived: Mono,
+) -> Replied {
+    let reply = admission::reply(reply, &id).await;
     if let Reply::Streaming(..) = &reply {
         edge.record_streamed(&route.name);
     }
-    reply
+    Replied {
+        id,
+        route,
+        arrived,
+        reply,
+    }
 }
 
 /// Counts the bytes of a body as buffered until dropped.
--- a/cuminspreadd/src/edge/response.rs
+++ b/cuminspreadd/src/edge/response.rs
@@ -9,7 +9,7 @@
 use cuminspread::coordination::refusal::{self, RefusalReason, ServiceState};
 use cuminspread::state::Name;
 use cuminspread::transport::upstream::exchange::{Chunk, Exchange};
-use futures_util::{StreamExt as _, stream};
+use futures_util::{StreamExt as _, TryStreamExt as _, stream};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use http::response::Parts;
 use http::{HeaderValue, Response, StatusCode};
@@ -103,27 +103,30 @@
     rest: Exchange,
 ) -> UnsyncBoxBody<Bytes, BoxError> {
     let first = stream::iter([Ok(Frame::data(prefix))]);
-    let others = stream::unfold(Some(rest), move |rest| {
-        let (edge, id) = (Arc::clone(&edge), id.clone());
-        async move {
-            let mut rest = rest?;
-            match std::future::poll_fn(|cx| rest.poll_chunk(cx)).await {
-                Ok(Chunk::Data(data)) => Some((Ok(Frame::data(data)), Some(rest))),
-                Ok(Chunk::End) => {
-                    rest.finish();
-                    None
-                }
-                Err(e) => {
-                    edge.metrics.count_cut_response("broken");
-                    log::warn!("event=response_cut id={id} cause=broken {e}");
-                    Some((Err(BoxError::from(e)), None))
-                }
+    let others = stream::unfold(Some(rest), |rest| async move {
+        let mut rest = rest?;
+        match std::future::poll_fn(|cx| rest.poll_chunk(cx)).await {
+            Ok(Chunk::Data(data)) => Some((Ok(Frame::data(data)), Some(rest))),
+            Ok(Chunk::End) => {
+                rest.finish();
+                None
             }
+            Err(e) => Some((Err(e), None)),
         }
     });
+    let others = others.map_err(move |e| {
+        edge.metrics.count_cut_response("broken");
+        log::warn!("event=response_cut id={id} cause=broken {e}");
+        BoxError::from(e)
+    });
     StreamBody::new(first.chain(others)).boxed_unsync()
 }
 
+/// Whether the length of a response is known when its head is sent.
+pub fn has_length(res: &HttpResponse) -> bool {
+    res.body().size_hint().exact().is_some() || res.headers().contains_key(CONTENT_LENGTH)
+}
+
 /// Response to a request that is answered without a server.
 pub fn rejection_response(edge: &Edge, rejection: Rejection) -> HttpResponse {
     match rejection {
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -72,16 +72,14 @@
         )));
         tasks.push(tokio::spawn(sweep(Arc::clone(&edge))));
         tasks.push(tokio::spawn(reachability::watch(Arc::clone(&edge))));
-        let forward_listener = forward.map(|(listener, _)| (listener, Origin::Peer));
-        let listeners = [(front_listener, Origin::Caller)];
-        let ingress = listeners
-            .into_iter()
-            .chain(forward_listener)
-            .map(|(listener, origin)| {
-                let serve = ingress::serve(Arc::clone(&edge), listener, phase_rx.clone(), origin);
-                tokio::spawn(serve)
-            })
-            .collect();
+        let serve = |listener, origin| {
+            let serve = ingress::serve(Arc::clone(&edge), listener, phase_rx.clone(), origin);
+            tokio::spawn(serve)
+        };
+        let mut ingress = vec![serve(front_listener, Origin::Caller)];
+        if let Some((listener, _)) = forward {
+            ingress.push(serve(listener, Origin::Peer));
+        }
         let (name, store) = (&edge.settings.name, edge.edge_settings.store);
         log::info!(
             "event=started name={name} data_centre={} front={front} admin={admin_address} peer={} \
