transport: frames and bytes of a response use up the turn of its task, and bounds are kept in a used-up turn

A request that gets informational responses without end got no 504.

Cause: tokio gives a task 128 operations a turn, and lets it see no event once they are used up, timers included. A connection that always has something to pass on uses up every turn before its bound is looked at. And a read that holds thousands of frames is one operation, so that turns are long.

Memory doesn't grow.

Change: transport::turn. Each frame and each KiB that is read from a server is an operation; timers that bound what a task reads are polled outside of the turn: the bound of an open response, the route's timeout, an attempt's deadline in folder mode. Whether an idle connection is usable is asked outside of the turn too. A write that waits for the next turn isn't logged as one that waits for the caller.

An older daemon isn't concerned: no message changes.

--- a/cuminspread/src/transport.rs
+++ b/cuminspread/src/transport.rs
@@ -7,4 +7,5 @@
 pub mod platform;
 pub mod recording;
 pub mod request_scan;
+pub mod turn;
 pub mod upstream;
--- a/cuminspread/src/transport/upstream.rs
+++ b/cuminspread/src/transport/upstream.rs
@@ -15,6 +15,7 @@
 pub mod meter;
 
 use std::fmt;
+use std::future::poll_fn;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
@@ -31,6 +32,7 @@
 
 use self::meter::{Meter, MeteredStream};
 use crate::state::Name;
+use crate::transport::turn;
 
 type Driver = http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>;
 
@@ -155,8 +157,15 @@
     /// Whether the connection is open and can take a request now.
     fn is_usable(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
-        let closed = self.drive(&mut cx);
-        !closed && matches!(self.sender.poll_ready(&mut cx), Poll::Ready(Ok(())))
+        // A turn that is used up would hide that the server has closed the connection.
+        let polled = turn::poll_unconstrained(
+            poll_fn(|cx| {
+                let closed = self.drive(cx);
+                Poll::Ready(!closed && matches!(self.sender.poll_ready(cx), Poll::Ready(Ok(()))))
+            }),
+            &mut cx,
+        );
+        polled == Poll::Ready(true)
     }
 }
 
--- a/cuminspread/src/transport/upstream/exchange.rs
+++ b/cuminspread/src/transport/upstream/exchange.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 
 use super::{Connection, Failure, Step};
+use crate::transport::turn;
 
 /// Largest body that is read only to use its connection again.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
@@ -98,6 +99,7 @@
     ///
     /// Fails at [`Step::Body`] if the connection closes before the end of the response.
     pub fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Result<Chunk, Failure>> {
+        ready!(turn::poll_step(cx));
         if let Poll::Ready(chunk) = self.poll_frame(cx) {
             return Poll::Ready(chunk);
         }
--- a/cuminspread/src/transport/upstream/meter.rs
+++ b/cuminspread/src/transport/upstream/meter.rs
@@ -10,6 +10,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::transport::turn;
+
 /// Byte counts of one connection, which can be read while the stream is in use.
 #[derive(Debug)]
 pub struct Meter {
@@ -85,6 +87,7 @@
         let count = buf.filled().len() - before;
         if count > 0 {
             self.meter.record_read(count);
+            turn::record_read(cx, count);
         }
         polled
     }
--- a/cuminspreadd/src/attempt.rs
+++ b/cuminspreadd/src/attempt.rs
@@ -10,6 +10,7 @@
 use cuminspread::invariant::Invariant;
 use cuminspread::protocol::header as cumin;
 use cuminspread::state::council::ServiceConfig;
+use cuminspread::transport::turn;
 use cuminspread::transport::upstream::exchange::{Exchange, WriteCounter};
 use cuminspread::transport::upstream::{ConnectionChoice, Failure, Step, Upstream};
 use futures_util::future::OptionFuture;
@@ -164,7 +165,7 @@
     control: &AttemptControl,
 ) -> AttemptResult {
     let mut exchange = pin!(exchange(engine, spec, control));
-    let mut deadline = pin!(tokio::time::sleep_until(spec.request.deadline.into()));
+    let mut deadline = pin!(turn::deadline(spec.request.deadline.into()));
     let mut confirm = pin!(OptionFuture::from(None));
     let mut cancelled = false;
     loop {
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -13,13 +13,14 @@
 use cuminspread::coordination::placement::{AttemptEnd, PlacementContext};
 use cuminspread::coordination::refusal::{self, RefusalReason, ServiceState};
 use cuminspread::state::time::Mono;
+use cuminspread::transport::turn::deadline;
 use cuminspread_platform::headers::ResponseFields;
 use futures_util::StreamExt as _;
 use futures_util::future::{BoxFuture, OptionFuture};
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use tokio::sync::oneshot;
-use tokio::time::{sleep_until, timeout, timeout_at};
+use tokio::time::{timeout, timeout_at};
 
 use super::attempt::{AttemptResult, BROKEN, send};
 use super::crash;
@@ -229,7 +230,7 @@
                     )));
                 }
             }
-            () = sleep_until(respond_by) => {
+            () = deadline(respond_by) => {
                 return final_reply(edge, req, history, fallback, RefusalReason::NoRoom, "timeout");
             }
         }
--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -28,8 +28,10 @@
 use cuminspread::transport::request_scan::{
     Framing, RequestFollower, Scan, ScannedHead, scan_head,
 };
+use cuminspread::transport::turn;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::coop::has_budget_remaining;
 use tokio::time::{Sleep, sleep, sleep_until};
 
 use super::ahead::{Start, StartedCall, Starter};
@@ -164,7 +166,7 @@
                 if timer.deadline() != due {
                     timer.as_mut().reset(due);
                 }
-                ready!(timer.as_mut().poll(cx));
+                ready!(turn::poll_unconstrained(timer.as_mut(), cx));
                 let now = state.starter.now();
                 match state.delivery.expire(now) {
                     Expiry::Overdue(awaited) => return Poll::Ready((response, awaited)),
@@ -451,6 +453,11 @@
     }
 }
 
+/// Whether a write waits for the caller, and not for the task's next turn.
+fn is_blocked(polled: &Poll<io::Result<usize>>) -> bool {
+    polled.is_pending() && has_budget_remaining()
+}
+
 impl AsyncWrite for CallerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
@@ -458,7 +465,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
-        let blocked = polled.is_pending();
+        let blocked = is_blocked(&polled);
         self.connection.lock().delivery.record_write(blocked);
         polled
     }
@@ -469,7 +476,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        let blocked = polled.is_pending();
+        let blocked = is_blocked(&polled);
         self.connection.lock().delivery.record_write(blocked);
         polled
     }
--- a/cuminspreadd/tests/daemon/failures.rs
+++ b/cuminspreadd/tests/daemon/failures.rs
@@ -5,7 +5,10 @@
 
 use cuminspread::invariant::Invariant;
 use cuminspread::state::council::ServiceConfig;
-use tokio::net::TcpSocket;
+use cuminspread_platform::standin::endless::Endless;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::runtime::Builder;
 
 use crate::caller::{Caller, WAIT_TIMEOUT, request, send};
 use crate::fixture;
@@ -319,6 +322,43 @@
     daemon.kill();
 }
 
+/// Guards against calls that outlive their deadline since a task that always has something to pass on
+/// finds its timers pending (issues 49 and 50). The server has threads of its own, so that it never waits
+/// for the daemon's.
+#[tokio::test]
+async fn a_response_without_end_ends_at_the_deadline() {
+    const DEADLINE: Duration = Duration::from_secs(1);
+    const END_BOUND: Duration = Duration::from_millis(500);
+    let others = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap();
+    for endless in Endless::ALL {
+        let stub = others.spawn(StubServer::start(Behaviour::Endless(endless)));
+        let stub = stub.await.unwrap();
+        let service = ServiceConfig {
+            deadline: DEADLINE,
+            max_body: u64::MAX,
+            ..fixture::service(&[stub.address])
+        };
+        let daemon = fixture::daemon(fixture::settings(), service).await;
+        let front = daemon.front();
+        let call = others.spawn(async move {
+            let mut stream = TcpStream::connect(front).await.unwrap();
+            let fields = "connection: close\r\n";
+            let text = request("POST", "/orders", fields, "paper");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            let mut buf = vec![0; 64 << 10];
+            while matches!(stream.read(&mut buf).await, Ok(1..)) {}
+        });
+        let ended = tokio::time::timeout(DEADLINE + END_BOUND, call).await;
+        assert!(ended.is_ok(), "{endless:?}: the call is still open");
+        daemon.kill();
+    }
+    others.shutdown_background();
+}
+
 /// When a caller leaves, its non-idempotent request still runs to its end, and the daemon serves
 /// on.
 #[tokio::test]
--- a/cuminspreadd/tests/daemon/stub_server.rs
+++ b/cuminspreadd/tests/daemon/stub_server.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use cuminspread_platform::standin::endless::Endless;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -31,6 +32,8 @@
     CloseAfterResponse,
     /// Responds with status 503, which means that the request was refused before its start.
     Refuse,
+    /// Sends bytes until the daemon closes the connection.
+    Endless(Endless),
 }
 
 #[derive(Debug)]
@@ -137,6 +140,12 @@
                 tokio::time::sleep(pause).await;
                 echo(&head, &body)
             }
+            Behaviour::Endless(endless) => {
+                let head = "HTTP/1.1 200 OK\r\n\r\n";
+                let refusal = "HTTP/1.1 503 Busy\r\n\r\n";
+                endless.send(&mut stream, head, refusal).await;
+                return;
+            }
             Behaviour::Refuse => b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_vec(),
         };
         served += 1;
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -14,6 +14,8 @@
 mod cut_daemons;
 #[path = "edge/delivery.rs"]
 mod delivery;
+#[path = "edge/endless.rs"]
+mod endless;
 #[path = "edge/evacuation.rs"]
 mod evacuation;
 #[path = "edge/fixture.rs"]
