delivery: only a pause of the process extends the bound of an open response

Cause: lateness alone counted as a pause.

Change: coordination::pause follows the activity of the process, at each poll of a caller's connection and at each tick (0.5 s at most). A time of 0.2 s or more without any is a pause; a bound that passed in one is extended once, as before.

Evidence: delivery::a_pause_of_the_process_extends_the_bound_once has a case that is found 1.8 s late by a busy process; before, it was extended. delivery::a_response_that_was_open_during_a_pause_is_completed (whole daemon) holds as before. What remains: a single step that takes 0.2 s of the thread looks like a pause.

No assertion was removed: expire takes one more argument.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -7,8 +7,8 @@
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`], [`evacuation`] and [`leaving`] for peers and servers with [`placement`],
 //! [`wait_queue`], [`hedging`], [`probe_limiter`], [`weighted_round_robin`], [`hold_off`],
-//! [`cold_server`], [`reachability`], [`forwarding`], [`read_ahead`], [`delivery`] and [`refusal`] for
-//! requests.
+//! [`cold_server`], [`reachability`], [`forwarding`], [`read_ahead`], [`delivery`], [`pause`]
+//! and [`refusal`] for requests.
 //! [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
@@ -31,6 +31,7 @@
 pub mod mesh;
 pub mod news;
 pub mod node;
+pub mod pause;
 pub mod placement;
 pub mod policy;
 pub mod pool;
--- a/cuminspread/src/coordination/delivery.rs
+++ b/cuminspread/src/coordination/delivery.rs
@@ -101,9 +101,11 @@
         self.response.as_ref()
     }
 
-    /// Decides what follows for the open response when its bound has passed.
-    pub fn expire(&mut self, now: Mono) -> Expiry {
+    /// Decides what follows for the open response when its bound has passed; `paused` tells whether the
+    /// process stood still at that time.
+    pub fn expire(&mut self, now: Mono, paused: bool) -> Expiry {
         if let Some(response) = &mut self.response
+            && paused
             && !self.extended
             && now.since(response.due) > DELIVERY_GRACE
         {
--- a/cuminspread/tests/delivery.rs
+++ b/cuminspread/tests/delivery.rs
@@ -59,29 +59,40 @@
         name: &'static str,
         /// Times at which the bound is found to have passed; it is at 3.2 s.
         found_ms: &'static [u64],
+        paused: bool,
         extended: usize,
     }
     let cases = [
         Case {
             name: "found in time",
             found_ms: &[3201],
+            paused: true,
             extended: 0,
         },
         Case {
             name: "found late by a busy process",
             found_ms: &[3390],
+            paused: true,
             extended: 0,
         },
         Case {
             name: "found after a pause",
             found_ms: &[5000, 5200],
+            paused: true,
             extended: 1,
         },
         Case {
             name: "found after two pauses",
             found_ms: &[5000, 9000],
+            paused: true,
             extended: 1,
         },
+        Case {
+            name: "found very late by a busy process",
+            found_ms: &[5000],
+            paused: false,
+            extended: 0,
+        },
     ];
     for case in cases {
         let mut delivery = Delivery::default();
@@ -89,7 +100,7 @@
         let steps: Vec<_> = case
             .found_ms
             .iter()
-            .map(|ms| delivery.expire(at(*ms)))
+            .map(|ms| delivery.expire(at(*ms), case.paused))
             .collect();
         let extended = steps.iter().filter(|s| **s == Expiry::Extended).count();
         assert_eq!(extended, case.extended, "{}", case.name);
@@ -114,7 +125,10 @@
         Some(&response(3200)),
         "its end is still to be written"
     );
-    assert_eq!(delivery.expire(at(3201)), Expiry::Overdue(Awaited::Caller));
+    assert_eq!(
+        delivery.expire(at(3201), false),
+        Expiry::Overdue(Awaited::Caller)
+    );
     delivery.record_write(false);
     delivery.record_flush();
     assert_eq!(delivery.open(), None);
--- a/cuminspreadd/src/edge/ahead.rs
+++ b/cuminspreadd/src/edge/ahead.rs
@@ -84,6 +84,16 @@
         self.edge.now()
     }
 
+    /// Records that the connection's task runs.
+    pub fn record_activity(&self) {
+        self.edge.pause_watch().record_activity(self.edge.now());
+    }
+
+    /// Whether the process stood still at a time.
+    pub fn was_paused_at(&self, at: Mono) -> bool {
+        self.edge.pause_watch().was_paused_at(at)
+    }
+
     /// Converts a time since the daemon's start for Tokio's timers.
     pub fn instant(&self, at: Mono) -> Instant {
         self.edge.instant(at)
--- a/cuminspreadd/src/edge/caller_stream.rs
+++ b/cuminspreadd/src/edge/caller_stream.rs
@@ -160,6 +160,7 @@
         let mut timer: Option<Pin<Box<Sleep>>> = None;
         poll_fn(|cx| {
             let mut state = self.lock();
+            state.starter.record_activity();
             while let Some(response) = state.delivery.open().cloned() {
                 let due = state.starter.instant(response.due);
                 let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
@@ -168,7 +169,8 @@
                 }
                 ready!(turn::poll_unconstrained(timer.as_mut(), cx));
                 let now = state.starter.now();
-                match state.delivery.expire(now) {
+                let paused = state.starter.was_paused_at(response.due);
+                match state.delivery.expire(now, paused) {
                     Expiry::Overdue(awaited) => return Poll::Ready((response, awaited)),
                     Expiry::Extended => log::info!(
                         "event=response_extended id={} route={} late_us={}",
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -436,6 +436,7 @@
     /// Runs what is due; returns the time of the next tick.
     fn run_due(self: &Arc<Self>) -> Mono {
         let now = self.edge.now();
+        self.edge.pause_watch().record_activity(now);
         let mut state = self.lock();
         let late = now.since(state.next_tick);
         if late > PAUSE_THRESHOLD {
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -21,6 +21,7 @@
 use cuminspread::coordination::decaying_rate::DecayingRate;
 use cuminspread::coordination::hedging::Hedging;
 use cuminspread::coordination::hold_off::HoldOff;
+use cuminspread::coordination::pause::PauseWatch;
 use cuminspread::coordination::placement::{
     AttemptEnd, LoadReporting, LoadSlowdown, PlacementContext, PlacementSettings, RoundTrips,
     ServerLoad, ServerState,
@@ -149,6 +150,7 @@
     servers: Mutex<ServerTable>,
     crashes: Mutex<CrashTracker>,
     forward_pool: Mutex<ForwardPool>,
+    pause_watch: Mutex<PauseWatch>,
     stopping: AtomicBool,
     rejecting_waiting: AtomicBool,
     registry_known: AtomicBool,
@@ -196,6 +198,7 @@
             servers: Mutex::new(ServerTable::new(seed, hedge_ratio)),
             crashes: Mutex::default(),
             forward_pool: Mutex::default(),
+            pause_watch: Mutex::default(),
             stopping: AtomicBool::new(false),
             rejecting_waiting: AtomicBool::new(false),
             registry_known: AtomicBool::new(false),
@@ -299,6 +302,13 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the record of pauses of the process.
+    pub fn pause_watch(&self) -> MutexGuard<'_, PauseWatch> {
+        self.pause_watch
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the peers that take forwarded requests; where both are needed, the servers come first.
     pub fn forward_pool(&self) -> MutexGuard<'_, ForwardPool> {
         self.forward_pool
