stop: only what has time for its answer is sent to servers, and they answer before the end

With a grace period below 3.4 s the stop was longer than the platform waits, and all that ran was cut.

Cause: the times of a stop were constants, and what may be sent followed from the time since SIGTERM alone.

Ruled out: sends after 2.8 s to servers of the daemon's own; a late body was refused. Only a request that is forwarded, since the daemon has lost its servers, was passed on then.

Change: coordination::stop has the times, shorter for a short grace period. Before each send (first attempt, retry, hedge, forwarded) the request's usual processing time must fit; else 503 at once, which is true. What is sent has a deadline of 0.3 s before the end, at which its server answers 504. Nothing that could have been answered is refused: the process ends at the same time as before.

Evidence: of eight tests of stop, the three new ones failed on the code before (5 passed): a request of 5 s sent after 2.5 s got no response, and a stop with a grace period of 2 s left a request.

No message changes; an older daemon isn't concerned.

--- a/cuminspread/src/coordination.rs
+++ b/cuminspread/src/coordination.rs
@@ -7,8 +7,8 @@
 //! Daemons that use a store have no common state machine. They combine [`mesh`], [`reader`],
 //! [`catalog`], [`evacuation`] and [`leaving`] for peers and servers with [`placement`],
 //! [`wait_queue`], [`hedging`], [`probe_limiter`], [`weighted_round_robin`], [`hold_off`],
-//! [`cold_server`], [`reachability`], [`forwarding`], [`read_ahead`], [`delivery`], [`pause`]
-//! and [`refusal`] for requests.
+//! [`cold_server`], [`reachability`], [`forwarding`], [`read_ahead`], [`delivery`], [`pause`],
+//! [`refusal`] and [`stop`] for requests.
 //! [`crash`] and [`retry`] serve both.
 
 pub mod attempt;
@@ -45,6 +45,7 @@
 pub mod server;
 pub mod server_limit;
 pub mod spread;
+pub mod stop;
 pub mod store_read;
 pub mod wait_queue;
 pub mod weighted_round_robin;
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -258,6 +258,11 @@
     committed: &AtomicBool,
     history: &mut History,
 ) -> Reply {
+    let time = edge.servers().processing_time(&req.route);
+    if !edge.may_send(edge.now(), time) {
+        let reason = RefusalReason::Stopping;
+        return final_reply(edge, req, history, None, reason, "not_offered");
+    }
     let until = edge.instant(req.respond_by);
     let offered = forward(edge, req, committed, &mut history.peer);
     match timeout_at(until, offered).await {
@@ -322,7 +327,7 @@
         req,
         id,
         sent_at: now,
-        time_left: req.deadline.since(now),
+        time_left: edge.server_deadline(req.deadline).since(now),
         target,
         is_hedge,
         ended: false,
--- a/cuminspreadd/src/edge/forward.rs
+++ b/cuminspreadd/src/edge/forward.rs
@@ -256,7 +256,8 @@
     *out.method_mut() = outbound.method.clone();
     *out.uri_mut() = outbound.target.clone();
     *out.headers_mut() = outbound.headers.clone();
-    set_time_left(out.headers_mut(), req.deadline.since(edge.now()));
+    let time_left = edge.server_deadline(req.deadline).since(edge.now());
+    set_time_left(out.headers_mut(), time_left);
     out.headers_mut().insert(VERSION, req.version.into());
     if let Ok(service) = HeaderValue::from_str(&req.service) {
         out.headers_mut().insert(SERVICE, service);
--- a/cuminspreadd/src/edge/placement.rs
+++ b/cuminspreadd/src/edge/placement.rs
@@ -219,10 +219,10 @@
             let now = self.edge.now();
             let (wake_at, waiter) = {
                 let mut servers = self.edge.servers();
-                if self.edge.rejects_waiting() {
+                let time = servers.processing_time(&self.req.route);
+                if !self.edge.may_send(now, time) {
                     return Err(RefusalReason::Stopping);
                 }
-                let time = servers.processing_time(&self.req.route);
                 let latest_send = self.req.deadline - time.mul_f32(MIN_PROCESSING_FRACTION);
                 if now >= latest_send {
                     return Err(RefusalReason::NoRoom);
--- a/cuminspreadd/src/edge/run.rs
+++ b/cuminspreadd/src/edge/run.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{sleep, sleep_until};
 
 use super::admin;
 use super::control::Control;
@@ -18,11 +18,6 @@
 use crate::daemon::bind;
 use crate::settings::Settings;
 
-/// Time from the start of a stop until idle connections are closed: the platform checks readiness
-/// twice, one second apart, before it sends new connections elsewhere.
-const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2800);
-/// Part of the grace period that is left for the process to exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(600);
 /// Time between two checks for requests in flight during a stop.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two sweeps of idle connections to servers.
@@ -134,22 +129,19 @@
 
     /// Stops gracefully; returns whether every request ended within the grace period.
     pub async fn stop(self) -> bool {
-        let began = Instant::now();
         let edge = &self.edge;
-        edge.set_stopping();
+        let plan = edge.begin_stop();
         self.phase.send_replace(StopPhase::Closing);
         self.control.leave();
         log::info!("event=stopping in_flight={}", edge.in_flight());
-        sleep_until(began + IDLE_CLOSE_DELAY).await;
-        edge.reject_waiting();
+        sleep_until(edge.instant(plan.idle_close())).await;
         self.phase.send_replace(StopPhase::Closed);
-        let end = began + edge.edge_settings.grace.saturating_sub(EXIT_MARGIN);
         let complete = loop {
             let finished = self.ingress.iter().all(JoinHandle::is_finished);
             if finished && edge.in_flight() == 0 {
                 break true;
             }
-            if Instant::now() >= end {
+            if edge.now() >= plan.end() {
                 break false;
             }
             sleep(DRAIN_POLL_INTERVAL).await;
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -13,7 +13,7 @@
 use std::hash::{BuildHasher as _, Hasher as _, RandomState};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use cuminspread::coordination::catalog::ServerEntry;
@@ -29,6 +29,7 @@
 use cuminspread::coordination::probe_limiter::{ProbeLimiter, ProbeLimiterSettings};
 use cuminspread::coordination::reachability::Reachability;
 use cuminspread::coordination::retry::TokenBucket;
+use cuminspread::coordination::stop::StopPlan;
 use cuminspread::coordination::weighted_round_robin::WeightedRoundRobin;
 use cuminspread::protocol::gossip::LimitReport;
 use cuminspread::state::Name;
@@ -151,8 +152,8 @@
     crashes: Mutex<CrashTracker>,
     forward_pool: Mutex<ForwardPool>,
     pause_watch: Mutex<PauseWatch>,
-    stopping: AtomicBool,
-    rejecting_waiting: AtomicBool,
+    /// Set when a graceful stop begins.
+    stop_plan: OnceLock<StopPlan>,
     registry_known: AtomicBool,
     /// Notified when the first configuration or the first servers are known.
     first_known: Notify,
@@ -199,8 +200,7 @@
             crashes: Mutex::default(),
             forward_pool: Mutex::default(),
             pause_watch: Mutex::default(),
-            stopping: AtomicBool::new(false),
-            rejecting_waiting: AtomicBool::new(false),
+            stop_plan: OnceLock::new(),
             registry_known: AtomicBool::new(false),
             first_known: Notify::new(),
             server_notice: Notify::new(),
@@ -348,22 +348,25 @@
 
     /// Whether a graceful stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.stop_plan.get().is_some()
     }
 
-    /// Begins a graceful stop.
-    pub fn set_stopping(&self) {
-        self.stopping.store(true, Ordering::Release);
+    /// Begins a graceful stop, if none has begun; returns its times.
+    pub fn begin_stop(&self) -> StopPlan {
+        let plan = || StopPlan::new(self.now(), self.edge_settings.grace);
+        *self.stop_plan.get_or_init(plan)
     }
 
-    /// Whether requests without a server are refused, since the process ends soon.
-    pub fn rejects_waiting(&self) -> bool {
-        self.rejecting_waiting.load(Ordering::Acquire)
+    /// Whether a request that usually takes `processing` may be sent to a server now.
+    pub fn may_send(&self, now: Mono, processing: Duration) -> bool {
+        let plan = self.stop_plan.get();
+        plan.is_none_or(|p| p.may_send(now, processing))
     }
 
-    /// Begins to refuse requests that still wait for a server.
-    pub fn reject_waiting(&self) {
-        self.rejecting_waiting.store(true, Ordering::Release);
+    /// Deadline of a server that gets a request now; earlier than the request's during a stop.
+    pub fn server_deadline(&self, deadline: Mono) -> Mono {
+        let plan = self.stop_plan.get();
+        plan.map_or(deadline, |p| p.server_deadline(deadline))
     }
 
     /// Requests that have not ended.
--- a/cuminspreadd/tests/edge/stop.rs
+++ b/cuminspreadd/tests/edge/stop.rs
@@ -6,10 +6,13 @@
 use cuminspread_platform::standin::client::ClientRequest;
 use cuminspread_platform::standin::server::{Behaviour, StandInServer};
 use cuminspread_platform::standin::store::RouteRow;
+use cuminspreadd::edge::run::EdgeDaemon;
+use cuminspreadd::edge::settings::EdgeSettings;
 use tokio::net::TcpStream;
 
 use crate::caller::Caller;
 use crate::fixture::{Fixture, is_ready, wait_for};
+use crate::forwarding::start_cut_fleet;
 
 /// Default time between SIGTERM and SIGKILL.
 const GRACE: Duration = Duration::from_secs(6);
@@ -123,6 +126,153 @@
     assert_eq!(fixture.runs(), 0);
 }
 
+/// Guards against requests that are sent to servers late in a stop, and cut without an answer when the
+/// process ends (issue 49).
+#[tokio::test]
+async fn what_is_sent_to_a_server_during_a_stop_is_answered_before_its_end() {
+    struct Case {
+        name: &'static str,
+        /// The first estimate of the time that requests take is about a third of it.
+        latency_target_s: f64,
+        work_ms: u64,
+        sent_after_ms: u64,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            name: "early, with time enough",
+            latency_target_s: 2.0,
+            work_ms: 3000,
+            sent_after_ms: 300,
+            status: 200,
+        },
+        Case {
+            name: "late and short",
+            latency_target_s: 2.0,
+            work_ms: 1500,
+            sent_after_ms: 2500,
+            status: 200,
+        },
+        Case {
+            name: "late, and longer than it is known to take",
+            latency_target_s: 2.0,
+            work_ms: 5000,
+            sent_after_ms: 2500,
+            status: 504,
+        },
+        Case {
+            name: "late, and as long as it is known to take",
+            latency_target_s: 11.0,
+            work_ms: 4000,
+            sent_after_ms: 2500,
+            status: 503,
+        },
+        Case {
+            name: "early, and as long as it is known to take",
+            latency_target_s: 11.0,
+            work_ms: 4000,
+            sent_after_ms: 500,
+            status: 200,
+        },
+    ];
+    for case in cases {
+        let route = RouteRow {
+            idempotent: false,
+            timeout_s: 10.0,
+            latency_target_s: case.latency_target_s,
+            ..RouteRow::default()
+        };
+        let fixture = Fixture::new(1, route).await;
+        let daemon = fixture.start_daemon().await;
+        fixture.set_behaviour(Behaviour::Work(case.work_ms));
+        let front = daemon.front();
+        let mut caller = Caller::connect(front).await;
+        let began = Instant::now();
+        let stop = tokio::spawn(daemon.stop());
+        tokio::time::sleep(Duration::from_millis(case.sent_after_ms)).await;
+        let req = ClientRequest {
+            method: "POST",
+            body: "two pages",
+            deadline_ms: 9000,
+            ..ClientRequest::default()
+        };
+        caller.write(req.text().as_bytes()).await;
+        let res = caller.read_response(false).await;
+        assert!(began.elapsed() < GRACE, "{}", case.name);
+        assert_eq!(res.status, case.status, "{}", case.name);
+        let runs = usize::from(case.status != 503);
+        assert_eq!(fixture.runs(), runs, "{}", case.name);
+        drop(caller);
+        assert!(stop.await.unwrap(), "{}: every request ended", case.name);
+    }
+}
+
+/// Guards against sending a request, to a server or to a peer, whose body arrives when the stop leaves no time
+/// for its answer.
+#[tokio::test]
+async fn a_request_whose_body_arrives_late_in_a_stop_is_refused() {
+    for forwarded in [false, true] {
+        let route = RouteRow {
+            idempotent: false,
+            timeout_s: 10.0,
+            ..RouteRow::default()
+        };
+        let fixture = Fixture::new(1, route).await;
+        let mut daemons = if forwarded {
+            start_cut_fleet(&fixture, 2, 1).await
+        } else {
+            vec![fixture.start_daemon().await]
+        };
+        let daemon = daemons.remove(0);
+        let runs = fixture.runs();
+        let mut caller = Caller::connect(daemon.front()).await;
+        let req = ClientRequest {
+            method: "POST",
+            body: "two pages",
+            deadline_ms: 9000,
+            ..ClientRequest::default()
+        };
+        let text = req.text();
+        let (start, end) = text.split_at(text.len() - 5);
+        caller.write(start.as_bytes()).await;
+        let stop = tokio::spawn(daemon.stop());
+        tokio::time::sleep(Duration::from_millis(3500)).await;
+        caller.write(end.as_bytes()).await;
+        let res = caller.read_response(false).await;
+        assert_eq!(res.status, 503, "forwarded={forwarded}");
+        assert!(res.field("retry-after").is_some());
+        assert_eq!(fixture.runs(), runs, "forwarded={forwarded}");
+        drop(caller);
+        assert!(stop.await.unwrap(), "forwarded={forwarded}");
+        daemons.into_iter().for_each(EdgeDaemon::kill);
+    }
+}
+
+/// Guards against a stop that takes longer than a short grace period, and is cut by its end.
+#[tokio::test]
+async fn a_stop_ends_within_a_short_grace_period() {
+    const SHORT_GRACE: Duration = Duration::from_secs(2);
+    let fixture = Fixture::new(1, RouteRow::default()).await;
+    let (settings, edge_settings) = fixture.settings(&[]);
+    let edge_settings = EdgeSettings {
+        grace: SHORT_GRACE,
+        ..edge_settings
+    };
+    let daemon = EdgeDaemon::start(settings, edge_settings).await.unwrap();
+    fixture.wait_ready(&daemon).await;
+    fixture.set_behaviour(Behaviour::Work(700));
+    let mut caller = Caller::connect(daemon.front()).await;
+    let began = Instant::now();
+    let stop = tokio::spawn(daemon.stop());
+    tokio::time::sleep(SHORT_GRACE / 4).await;
+    caller
+        .write(ClientRequest::default().text().as_bytes())
+        .await;
+    assert_eq!(caller.read_response(false).await.status, 200);
+    assert!(stop.await.unwrap(), "every request ended");
+    assert!(began.elapsed() < SHORT_GRACE, "{:?}", began.elapsed());
+}
+
 /// Callers keep connecting until the daemon no longer listens. What it cuts off without an answer, as
 /// the connection crosses its close, no server has run.
 #[tokio::test]
