control: daemons introduce themselves to near peers, and a response to a hello tells the versions that there are

Cause: an update goes to the daemons that its sender knows, and a daemon that has started becomes known by one hello a second to a random peer. Until then it finds out by its own read of the store, 1.3 to 1.7 s after the last update that it heard, and not at all if that read fails.

The last known read is never replaced by an earlier one. Both messages exist since the first format, so older daemons understand them.

--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -8,6 +8,10 @@
 //! and to two relays in each other data centre, so that links between data centres carry a fixed
 //! number of copies, whatever the size of the fleet.
 //!
+//! An update reaches only daemons that its sender knows. A daemon therefore introduces itself to each
+//! near peer that it learns of and that may not know it yet, and a response to a hello says which
+//! versions there are.
+//!
 //! Load pattern: all daemons start at once and know three addresses; later many of them are killed
 //! together, and the relays may be among them.
 
@@ -187,7 +191,10 @@
     /// Merges the peers that another daemon named; returns those that are new.
     pub fn merge_known(&mut self, now: Mono, named: &[KnownPeer]) -> Vec<Daemon> {
         let mut new = Vec::new();
-        self.grown.1 = self.grown.1.saturating_add(1);
+        // An introduction isn't a sample of the fleet.
+        if named.len() > 1 {
+            self.grown.1 = self.grown.1.saturating_add(1);
+        }
         for peer in named {
             let age = AGE_UNIT * u32::from(peer.age);
             if age < self.settings.expire_after && self.record(&peer.daemon, now - age) {
@@ -197,6 +204,22 @@
         new
     }
 
+    /// How this daemon introduces itself to peers that it has just learned of.
+    pub fn introduction(&self) -> KnownPeer {
+        KnownPeer {
+            daemon: self.me.clone(),
+            age: 0,
+        }
+    }
+
+    /// Those of some daemons that are in this daemon's data centre.
+    pub fn near_among(&self, daemons: &[Daemon]) -> Vec<SocketAddr> {
+        let near = daemons
+            .iter()
+            .filter(|d| d.data_centre == self.me.data_centre);
+        near.map(|d| d.address).collect()
+    }
+
     /// Removes a daemon that stops, unless it has started again since.
     pub fn remove(&mut self, daemon: &Daemon) {
         let known = self.peers.get(&daemon.address);
@@ -256,10 +279,7 @@
             };
             sample.push(pool.swap_remove(self.rng.random_range(0..pool.len())));
         }
-        let me = KnownPeer {
-            daemon: self.me.clone(),
-            age: 0,
-        };
+        let me = self.introduction();
         let sample = sample.into_iter().map(|peer| KnownPeer {
             daemon: peer.daemon.clone(),
             age: (now.since(peer.last_heard).as_millis() / AGE_UNIT.as_millis())
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -140,8 +140,12 @@
                 let is_new = record_peer(&mut state, now, &daemon);
                 let peers = GossipMessage::Peers(state.mesh.sample_peers(now, &daemon.data_centre));
                 let evacuations = evacuation::report(&state);
+                let known_versions = self.known_versions(&state, now);
                 drop(state);
                 self.gossip.send(from, &peers);
+                if let Some(update) = known_versions {
+                    self.send_update(&[from], &update);
+                }
                 if let Some(evacuations) = evacuations {
                     self.gossip.send(from, &evacuations);
                 }
@@ -155,6 +159,7 @@
                 let new = state.mesh.merge_known(now, &peers);
                 let is_empty = state.catalog.revision().is_empty();
                 let near = state.mesh.near_peers();
+                self.introduce(&state, &new);
                 drop(state);
                 log_new_peers(&new);
                 if is_empty {
@@ -191,15 +196,22 @@
         let now = self.edge.now();
         let reader = update.reader.address;
         let mut state = self.lock();
-        record_peer(&mut state, now, &update.reader);
+        if record_peer(&mut state, now, &update.reader) {
+            self.introduce(&state, std::slice::from_ref(&update.reader));
+        }
         let revision = state.catalog.revision();
         let era = update.versions.revision.era;
         if let Some(evacuations) = &update.evacuations {
             self.adopt_evacuations(&mut state, evacuations, &from, update.age);
         }
         // A read of an earlier era tells nothing of what the store holds now.
-        if era >= revision.era {
-            state.last_read = Some((update.reader.clone(), now - update.age));
+        let read_at = now - update.age;
+        let is_latest = state
+            .last_read
+            .as_ref()
+            .is_none_or(|(_, at)| read_at >= *at);
+        if era >= revision.era && is_latest {
+            state.last_read = Some((update.reader.clone(), read_at));
         }
         // Nor does one by a daemon that doesn't know of emptied data centres tell of these.
         let is_complete = update.evacuations.as_ref();
@@ -397,22 +409,43 @@
 
     /// Notifies a few near peers of the versions that this daemon has now.
     fn announce_versions(&self) {
-        let now = self.edge.now();
         let mut state = self.lock();
-        let versions = self.versions(&state);
-        let Some((reader, at)) = state.last_read.clone() else {
+        let Some(update) = self.known_versions(&state, self.edge.now()) else {
             return;
         };
         let peers: Vec<SocketAddr> = (0..ANNOUNCE_PEERS)
             .filter_map(|_| state.mesh.random_near())
             .collect();
-        let mut update = versions_only(reader, now.since(at), versions, &state.evacuations);
         drop(state);
-        if self.lacks_terms() {
-            // Peers would pull them from here.
+        self.send_update(&peers, &update);
+    }
+
+    /// The versions that this daemon has, and the last known read; `None` if there was none.
+    fn known_versions(&self, state: &SyncState, now: Mono) -> Option<StoreUpdate> {
+        let (reader, age) = if state.read_schedule.role() == Role::Reader {
+            (state.mesh.me().clone(), state.read_schedule.age(now)?)
+        } else {
+            let (reader, at) = state.last_read.as_ref()?;
+            (reader.clone(), now.since(*at))
+        };
+        let mut update = versions_only(reader, age, self.versions(state), &state.evacuations);
+        // A reader of an older format doesn't know of emptied data centres.
+        let reads_all = state.read_schedule.age(now).is_some_and(|a| a <= age);
+        if self.lacks_terms() || !reads_all {
+            // Peers would pull the terms from here, or take the read for a complete one.
             update.evacuations = None;
         }
-        self.send_update(&peers, &update);
+        Some(update)
+    }
+
+    /// Makes this daemon known to near peers that it has just learned of: the reader and those that
+    /// forward its updates may be among them.
+    fn introduce(&self, state: &SyncState, new: &[Daemon]) {
+        let near = state.mesh.near_among(new);
+        if !near.is_empty() {
+            let me = state.mesh.introduction();
+            self.send_all(&near, &GossipMessage::Peers(vec![me]));
+        }
     }
 
     fn pull_request(&self, have: Versions) -> PullRequest {
@@ -441,7 +474,8 @@
             None => 0,
         };
         let mut state = self.lock();
-        state.mesh.merge_known(now, &response.peers);
+        let new = state.mesh.merge_known(now, &response.peers);
+        self.introduce(&state, &new);
         if let Some(evacuations) = &response.evacuations {
             self.adopt_evacuations(&mut state, evacuations, &peer, Duration::ZERO);
         }
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -28,6 +28,8 @@
 mod leaving;
 #[path = "edge/load.rs"]
 mod load;
+#[path = "edge/newcomers.rs"]
+mod newcomers;
 #[path = "edge/odd_entries.rs"]
 mod odd_entries;
 #[path = "edge/pause.rs"]
