mesh: of two starts of a daemon, the one that was heard later counts

Cause: starts are ordered by the time of day that the daemon reports, which may jump.

Change: they are ordered by when they were heard, with an error of 1 s, as some daemons may have passed it on; within that error the later reported start counts, as before.

Evidence: mesh::a_daemon_is_known_again_after_a_start_at_an_earlier_time_of_day failed before (15 s after the start, peers had the first one), and passes. an_earlier_start_never_replaces_a_later_one holds as it was.

No message changes.

--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -35,6 +35,8 @@
 /// One in this many hellos goes to a seed, so that separated groups of daemons find each other.
 const SEED_HELLO_EVERY: u32 = 16;
 
+/// Error of the time at which a peer was heard, after some daemons have passed it on.
+const HEARD_ERROR: Duration = Duration::from_secs(1);
 /// Growth of the fleet, as a fraction, from which on the daemon counts as still learning of it.
 const NOTABLE_GROWTH: f32 = 0.25;
 /// Time without notable growth after which a daemon knows the fleet.
@@ -371,7 +373,13 @@
                 }
                 return false;
             }
-            if known.daemon.started_ms > daemon.started_ms {
+            // The time of day may have been set back between two starts.
+            let is_current = if daemon.started_ms > known.daemon.started_ms {
+                at + HEARD_ERROR >= known.last_heard
+            } else {
+                at > known.last_heard + HEARD_ERROR
+            };
+            if !is_current {
                 return false;
             }
         } else if self.peers.len() >= self.settings.capacity {
--- a/cuminspread/tests/mesh.rs
+++ b/cuminspread/tests/mesh.rs
@@ -203,6 +203,34 @@
     }
 }
 
+/// Guards against daemons that their peers lose sight of since the time of day was set back before they
+/// started again (issue 49).
+#[test]
+fn a_daemon_is_known_again_after_a_start_at_an_earlier_time_of_day() {
+    const STARTED_MS: u64 = 60_000;
+    let mut fleet = Fleet::new(36, 1);
+    fleet.start(7, STARTED_MS);
+    fleet.run(Duration::from_secs(20));
+    fleet.meshes[7] = None;
+    fleet.run(Duration::from_secs(1));
+    // The second start is reported as 30 s before the first.
+    fleet.start(7, STARTED_MS / 2);
+    for second in 1..=45 {
+        fleet.run(Duration::from_secs(1));
+        for (i, mesh) in fleet.meshes.iter().flatten().enumerate() {
+            let known = mesh.daemons().find(|d| d.address == address(7));
+            let started_ms = known.map(|d| d.started_ms);
+            assert!(i == 7 || known.is_some(), "daemon {i}, {second} s");
+            // Gossip takes some seconds.
+            let is_current = started_ms == Some(STARTED_MS / 2);
+            assert!(
+                i == 7 || second < 15 || is_current,
+                "daemon {i}, {second} s: {started_ms:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn lost_daemons_count_as_part_of_the_fleet_and_stopped_ones_do_not() {
     struct Case {
