transport: a turn ends after 16 frames of a response

Cause: turns of 128 frames are as long as a sound request's whole path through the daemon.

Change: a frame counts as 8 of the turn's 128 operations. hyper bounds the frames of requests to as many.

--- a/cuminspread/src/transport/turn.rs
+++ b/cuminspread/src/transport/turn.rs
@@ -2,8 +2,7 @@
 //!
 //! A daemon has one thread, so a task that is always ready keeps all others waiting until its turn
 //! ends. `tokio` ends a turn after a number of operations on sockets, but one read of a socket may
-//! hold thousands of frames. Each frame and each [`BYTES_PER_STEP`] of a read therefore count as an
-//! operation of their own here.
+//! hold thousands of frames. Frames, and the bytes of a read, therefore count as operations here.
 //!
 //! A task that has used up its turn finds all its timers pending, however late they are. Bounds on
 //! what such a task does are kept by [`deadline`].
@@ -12,28 +11,41 @@
 //! than they are passed on.
 
 use std::pin::pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::task::coop::{Unconstrained, poll_proceed, unconstrained};
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Bytes of a read that count as one operation.
-pub const BYTES_PER_STEP: usize = 1024;
+const BYTES_PER_STEP: usize = 1024;
+/// Operations that a frame counts as: a turn has 128, and ends after 16 frames, as `hyper`'s do for the
+/// frames of requests.
+const STEPS_PER_FRAME: usize = 8;
 
-/// Takes one operation out of the turn; pending, with a wake-up in the next turn, if none is left.
-pub fn poll_step(cx: &mut Context<'_>) -> Poll<()> {
-    poll_proceed(cx).map(|step| step.made_progress())
+/// Takes a frame out of the turn; pending, with a wake-up in the next turn, if it is used up.
+pub fn poll_frame(cx: &mut Context<'_>) -> Poll<()> {
+    ready!(poll_step(cx));
+    take_steps(cx, STEPS_PER_FRAME - 1);
+    Poll::Ready(())
 }
 
-/// Takes the operations that a read of `count` bytes counts as out of the turn.
+/// Takes a read of `count` bytes out of the turn.
 pub fn record_read(cx: &mut Context<'_>, count: usize) {
-    for _ in 0..count / BYTES_PER_STEP {
+    take_steps(cx, count / BYTES_PER_STEP);
+}
+
+fn take_steps(cx: &mut Context<'_>, steps: usize) {
+    for _ in 0..steps {
         if poll_step(cx).is_pending() {
             return;
         }
     }
 }
 
+fn poll_step(cx: &mut Context<'_>) -> Poll<()> {
+    poll_proceed(cx).map(|step| step.made_progress())
+}
+
 /// Timer that also ends in a turn that is used up.
 pub fn deadline(at: Instant) -> Unconstrained<Sleep> {
     unconstrained(sleep_until(at))
--- a/cuminspread/src/transport/upstream/exchange.rs
+++ b/cuminspread/src/transport/upstream/exchange.rs
@@ -99,7 +99,7 @@
     ///
     /// Fails at [`Step::Body`] if the connection closes before the end of the response.
     pub fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Result<Chunk, Failure>> {
-        ready!(turn::poll_step(cx));
+        ready!(turn::poll_frame(cx));
         if let Poll::Ready(chunk) = self.poll_frame(cx) {
             return Poll::Ready(chunk);
         }
