control: an introduction is answered by peers that know an earlier start of the daemon

Cause: the peers had started again while their time of day was set back. A daemon that had heard the earlier start within a second took their introductions for old ones, didn't answer, and stayed unknown to them.

Change: a message of a daemon itself tells of its last start, whatever the time of day; only what others say of it is ordered by when they heard it. A reader that an update names is one that others have heard.

Evidence: mesh::a_message_of_a_daemon_tells_of_its_last_start; before, the second start wasn't taken as new.

--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -185,8 +185,13 @@
         now.since(grown) >= SETTLE_TIME && answers >= SETTLE_ANSWERS
     }
 
-    /// Records a message from a daemon; returns whether the daemon is new.
+    /// Records a message from a daemon; returns whether the daemon is new or has started again.
     pub fn record_heard(&mut self, now: Mono, daemon: &Daemon) -> bool {
+        let known = self.peers.get(&daemon.address);
+        if known.is_some_and(|p| p.daemon.started_ms != daemon.started_ms) {
+            // Whatever its time of day, the daemon itself tells of its last start.
+            self.peers.remove(&daemon.address);
+        }
         self.record(daemon, now)
     }
 
@@ -206,6 +211,12 @@
         new
     }
 
+    /// Records a daemon that another one has heard at a time; returns whether it is new or has started
+    /// again.
+    pub fn record_named(&mut self, daemon: &Daemon, at: Mono) -> bool {
+        self.record(daemon, at)
+    }
+
     /// How this daemon introduces itself to peers that it has just learned of.
     pub fn introduction(&self) -> KnownPeer {
         KnownPeer {
--- a/cuminspread/tests/mesh.rs
+++ b/cuminspread/tests/mesh.rs
@@ -231,6 +231,25 @@
     }
 }
 
+/// Guards against a daemon that doesn't answer an introduction, since it takes the peer's start for an
+/// earlier one.
+#[test]
+fn a_message_of_a_daemon_tells_of_its_last_start() {
+    let me = daemon(0, 3, 1);
+    let mut mesh = Mesh::new(MeshSettings::default(), me, Vec::new(), 1);
+    assert!(mesh.record_heard(Mono(0), &daemon(1, 3, 60_000)));
+    assert!(mesh.record_heard(Mono(0) + STEP, &daemon(1, 3, 30_000)));
+    assert!(!mesh.record_heard(Mono(0) + 2 * STEP, &daemon(1, 3, 30_000)));
+    let forward_port = 7215;
+    let named = Daemon {
+        forward_port,
+        ..daemon(1, 3, 30_000)
+    };
+    assert!(!mesh.record_named(&named, Mono(0)));
+    assert!(mesh.forward_address(address(1), 30_000).is_some());
+    assert_eq!(mesh.size(), 2);
+}
+
 #[test]
 fn lost_daemons_count_as_part_of_the_fleet_and_stopped_ones_do_not() {
     struct Case {
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -156,6 +156,12 @@
             }
             GossipMessage::Peers(peers) => {
                 let mut state = self.lock();
+                if let [peer] = peers.as_slice()
+                    && peer.daemon.address == from
+                    && record_peer(&mut state, now, &peer.daemon)
+                {
+                    self.introduce(&state, std::slice::from_ref(&peer.daemon));
+                }
                 let new = state.mesh.merge_known(now, &peers);
                 let is_empty = state.catalog.revision().is_empty();
                 let near = state.mesh.near_peers();
@@ -196,7 +202,8 @@
         let now = self.edge.now();
         let reader = update.reader.address;
         let mut state = self.lock();
-        if record_peer(&mut state, now, &update.reader) {
+        if state.mesh.record_named(&update.reader, now - update.age) {
+            log_new_peers(std::slice::from_ref(&update.reader));
             self.introduce(&state, std::slice::from_ref(&update.reader));
         }
         let revision = state.catalog.revision();
