--- a/cuminspread/src/coordination/stop.rs
+++ b/cuminspread/src/coordination/stop.rs
@@ -31,7 +31,7 @@
     /// Plan of a stop that begins now, in a process that is killed after `grace`.
     pub fn new(now: Mono, grace: Duration) -> Self {
         let exit_margin = EXIT_MARGIN.min(grace / EXIT_DIVISOR);
-        let end = now + (grace - exit_margin);
+        let end = now + grace.saturating_sub(exit_margin);
         Self {
             idle_close: now + IDLE_CLOSE_DELAY.min(grace / IDLE_CLOSE_DIVISOR),
             answer_by: end - exit_margin / ANSWER_DIVISOR,
