--- a/cuminspreadd/tests/edge/endless.rs
+++ b/cuminspreadd/tests/edge/endless.rs
@@ -23,7 +23,7 @@
 use crate::forwarding::start_cut_fleet;
 
 /// Timeout of the routes.
-const ROUTE_TIMEOUT: Duration = Duration::from_millis(1000);
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after it within which a response must have ended; required by the users.
 const END_BOUND: Duration = Duration::from_millis(500);
 /// Latency target of the route to the sound service.
