--- a/cuminspreadd/tests/edge/endless.rs
+++ b/cuminspreadd/tests/edge/endless.rs
@@ -166,15 +166,17 @@
 impl Shop {
     async fn start() -> Self {
         let others = Others::new();
-        let fixture = others.spawn(Fixture::without_config(1)).await.unwrap();
+        // A server for each faulty connection, so that none is full.
+        let fixture = others.spawn(Fixture::without_config(FAULTY_CONNECTIONS));
+        let fixture = fixture.await.unwrap();
         let sound = others.spawn(StandInServer::start("i-sound")).await.unwrap();
         let (id, address) = (sound.id(), sound.address());
         fixture.store.put_server(id, "sound", address, &json!({}));
         let routes = [
-            // What has no end lasts longer than the test.
+            // What has no end lasts longer than the test, and is sent once.
             RouteRow {
                 timeout_s: CALLER_DEADLINE.as_secs_f64(),
-                ..route(true)
+                ..route(false)
             },
             RouteRow {
                 name: "r-2",
