--- a/cuminspread/src/coordination/stop.rs
+++ b/cuminspread/src/coordination/stop.rs
@@ -10,13 +10,13 @@
 /// Time from the start of a stop until idle connections are closed: the platform checks readiness
 /// twice, one second apart, before it sends new connections elsewhere.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2800);
-/// The same as a part of a short grace period.
+/// Part of a short grace period after which they are closed.
 const IDLE_CLOSE_DIVISOR: u32 = 2;
 /// Time at the end of the grace period for the process to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
-/// The same as a part of a short grace period.
+/// Part of a short grace period that is left for the process to exit.
 const EXIT_DIVISOR: u32 = 10;
-/// Part of the exit margin in which the last answers of servers reach their callers, before it.
+/// Part of the exit margin that the last answers of servers have to reach their callers, before the end.
 const ANSWER_DIVISOR: u32 = 2;
 
 /// Times of one graceful stop.
--- a/cuminspread/src/transport/turn.rs
+++ b/cuminspread/src/transport/turn.rs
@@ -18,8 +18,7 @@
 
 /// Bytes of a read that count as one operation.
 const BYTES_PER_STEP: usize = 1024;
-/// Operations that a frame counts as: a turn has 128, and ends after 16 frames, as `hyper`'s do for the
-/// frames of requests.
+/// Operations that a frame counts as; a turn has 128.
 const STEPS_PER_FRAME: usize = 8;
 
 /// Takes a frame out of the turn; pending, with a wake-up in the next turn, if it is used up.
@@ -46,7 +45,7 @@
     poll_proceed(cx).map(|step| step.made_progress())
 }
 
-/// Timer that also ends in a turn that is used up.
+/// Timer that ends at its time also if the task has used up its turn.
 pub fn deadline(at: Instant) -> Unconstrained<Sleep> {
     unconstrained(sleep_until(at))
 }
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -427,7 +427,7 @@
         self.send_update(&peers, &update);
     }
 
-    /// The versions that this daemon has, and the last known read; `None` if there was none.
+    /// Update with the versions that this daemon has and the last known read; `None` if no read is known.
     fn known_versions(&self, state: &SyncState, now: Mono) -> Option<StoreUpdate> {
         let (reader, age) = if state.read_schedule.role() == Role::Reader {
             (state.mesh.me().clone(), state.read_schedule.age(now)?)
