control: introductions are told from samples where they arrive; tests share threads of their own

No behaviour that callers see changes, and no check.

An introduction went through the path of samples after it had been recorded, which therefore had to tell it from a sample by its length. The message's handler does that once now, and merge_known counts answers as it did before. record_named was an alias of a private method; that method is public now.

The runtime for servers and callers beside the daemon was written in both modes' tests; they share one. If an assertion of failures::a_response_without_end_... fails, its runtime no longer ends with a second panic.

--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -192,31 +192,22 @@
             // Whatever its time of day, the daemon itself tells of its last start.
             self.peers.remove(&daemon.address);
         }
-        self.record(daemon, now)
+        self.record_named(daemon, now)
     }
 
     /// Merges the peers that another daemon named; returns those that are new.
     pub fn merge_known(&mut self, now: Mono, named: &[KnownPeer]) -> Vec<Daemon> {
         let mut new = Vec::new();
-        // An introduction isn't a sample of the fleet.
-        if named.len() > 1 {
-            self.grown.1 = self.grown.1.saturating_add(1);
-        }
+        self.grown.1 = self.grown.1.saturating_add(1);
         for peer in named {
             let age = AGE_UNIT * u32::from(peer.age);
-            if age < self.settings.expire_after && self.record(&peer.daemon, now - age) {
+            if age < self.settings.expire_after && self.record_named(&peer.daemon, now - age) {
                 new.push(peer.daemon.clone());
             }
         }
         new
     }
 
-    /// Records a daemon that another one has heard at a time; returns whether it is new or has started
-    /// again.
-    pub fn record_named(&mut self, daemon: &Daemon, at: Mono) -> bool {
-        self.record(daemon, at)
-    }
-
     /// How this daemon introduces itself to peers that it has just learned of.
     pub fn introduction(&self) -> KnownPeer {
         KnownPeer {
@@ -369,8 +360,9 @@
         out
     }
 
-    /// Records when a daemon was heard from; returns whether it is new or has started again.
-    fn record(&mut self, daemon: &Daemon, at: Mono) -> bool {
+    /// Records a daemon that another one has heard at a time; returns whether it is new or has started
+    /// again.
+    pub fn record_named(&mut self, daemon: &Daemon, at: Mono) -> bool {
         if daemon.address == self.me.address {
             return false;
         }
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -156,13 +156,14 @@
             }
             GossipMessage::Peers(peers) => {
                 let mut state = self.lock();
-                if let [peer] = peers.as_slice()
-                    && peer.daemon.address == from
-                    && record_peer(&mut state, now, &peer.daemon)
-                {
-                    self.introduce(&state, std::slice::from_ref(&peer.daemon));
-                }
-                let new = state.mesh.merge_known(now, &peers);
+                let new = match peers.as_slice() {
+                    // An introduction isn't a sample of the fleet.
+                    [peer] if peer.daemon.address == from => {
+                        let is_new = state.mesh.record_heard(now, &peer.daemon);
+                        is_new.then(|| peer.daemon.clone()).into_iter().collect()
+                    }
+                    sample => state.mesh.merge_known(now, sample),
+                };
                 let is_empty = state.catalog.revision().is_empty();
                 let near = state.mesh.near_peers();
                 self.introduce(&state, &new);
--- a/cuminspreadd/tests/daemon.rs
+++ b/cuminspreadd/tests/daemon.rs
@@ -6,6 +6,8 @@
 mod failures;
 #[path = "daemon/fixture.rs"]
 mod fixture;
+#[path = "daemon/other_threads.rs"]
+mod other_threads;
 #[path = "daemon/path.rs"]
 mod path;
 #[path = "daemon/program.rs"]
--- a/cuminspreadd/tests/daemon/failures.rs
+++ b/cuminspreadd/tests/daemon/failures.rs
@@ -8,10 +8,10 @@
 use cuminspread_platform::standin::endless::Endless;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::runtime::Builder;
 
 use crate::caller::{Caller, WAIT_TIMEOUT, request, send};
 use crate::fixture;
+use crate::other_threads::OtherThreads;
 use crate::stub_server::{Behaviour, StubServer};
 
 struct Case {
@@ -329,11 +329,7 @@
 async fn a_response_without_end_ends_at_the_deadline() {
     const DEADLINE: Duration = Duration::from_secs(1);
     const END_BOUND: Duration = Duration::from_millis(500);
-    let others = Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .unwrap();
+    let others = OtherThreads::start();
     for endless in Endless::ALL {
         let stub = others.spawn(StubServer::start(Behaviour::Endless(endless)));
         let stub = stub.await.unwrap();
@@ -356,7 +352,6 @@
         assert!(ended.is_ok(), "{endless:?}: the call is still open");
         daemon.kill();
     }
-    others.shutdown_background();
 }
 
 /// When a caller leaves, its non-idempotent request still runs to its end, and the daemon serves
--- a/cuminspreadd/tests/edge.rs
+++ b/cuminspreadd/tests/edge.rs
@@ -32,6 +32,8 @@
 mod newcomers;
 #[path = "edge/odd_entries.rs"]
 mod odd_entries;
+#[path = "daemon/other_threads.rs"]
+mod other_threads;
 #[path = "edge/pause.rs"]
 mod pause;
 #[path = "edge/placement.rs"]
--- a/cuminspreadd/tests/edge/endless.rs
+++ b/cuminspreadd/tests/edge/endless.rs
@@ -14,13 +14,12 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
-use tokio::runtime::{Builder, Runtime};
-use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::caller;
 use crate::fixture::{Fixture, wait_for};
 use crate::forwarding::start_cut_fleet;
+use crate::other_threads::OtherThreads;
 
 /// Timeout of the routes.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -31,34 +30,6 @@
 /// Time for which callers wait.
 const CALLER_DEADLINE: Duration = Duration::from_secs(6);
 
-/// Threads for servers and callers.
-struct Others(Option<Runtime>);
-
-impl Others {
-    fn new() -> Self {
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build();
-        Self(Some(runtime.unwrap()))
-    }
-
-    fn spawn<T: Send + 'static>(
-        &self,
-        f: impl Future<Output = T> + Send + 'static,
-    ) -> JoinHandle<T> {
-        self.0.as_ref().unwrap().spawn(f)
-    }
-}
-
-impl Drop for Others {
-    fn drop(&mut self) {
-        if let Some(runtime) = self.0.take() {
-            runtime.shutdown_background();
-        }
-    }
-}
-
 fn route(idempotent: bool) -> RouteRow {
     RouteRow {
         idempotent,
@@ -132,7 +103,7 @@
         });
     }
     for case in cases {
-        let others = Others::new();
+        let others = OtherThreads::start();
         let fixture = others.spawn(Fixture::new(1, route(case.idempotent)));
         let fixture = fixture.await.unwrap();
         let daemons = if case.forwarded {
@@ -157,7 +128,7 @@
 
 /// A daemon with a faulty and a sound service.
 struct Shop {
-    others: Others,
+    others: OtherThreads,
     fixture: Fixture,
     _sound: StandInServer,
     daemon: EdgeDaemon,
@@ -165,7 +136,7 @@
 
 impl Shop {
     async fn start() -> Self {
-        let others = Others::new();
+        let others = OtherThreads::start();
         // A server for each faulty connection, so that none is full.
         let fixture = others.spawn(Fixture::without_config(FAULTY_CONNECTIONS));
         let fixture = fixture.await.unwrap();
