mesh: a daemon that is stopping still gets updates, and no late message makes it a peer again

Callers of a daemon that was stopping were served by an older configuration for up to 1.05 s longer than those of other daemons; a route that had been dropped was still served.

Hypotheses: the datagram was lost; the daemon had an older base, so that the change didn't apply; the sender didn't know the daemon. The first would hit any daemon, and the second logs a pull at once. All stragglers that were traced log event=stopping before the change.

Cause: a daemon that stops says so, its peers remove it from their membership, and the membership is also the list of those that get updates. It takes requests for 2.8 s more. What it heard was by its own hellos; before by its own read of the store, after 1.3 to 1.7 s. A hello that came after the notice also made it a peer again, for up to 30 s after its end.

Change: the mesh keeps daemons that are stopping apart. They get updates and other messages for the fleet, count as no peer, and neither their later messages nor what others tell of that start makes them one. Messages are unchanged; older daemons behave as before. The belief is logged (event=peer_leaving).

The library's table of cases covers later starts, clocks that were set back, and the end of the memory.

--- a/cuminspread/src/coordination/mesh.rs
+++ b/cuminspread/src/coordination/mesh.rs
@@ -10,11 +10,13 @@
 //!
 //! An update reaches only daemons that its sender knows. A daemon therefore introduces itself to each
 //! near peer that it learns of and that may not know it yet, and a response to a hello says which
-//! versions there are.
+//! versions there are. A daemon that is stopping is no peer any more, but still serves its callers: it gets
+//! updates until it would have been forgotten if it had been lost.
 //!
 //! Load pattern: all daemons start at once and know three addresses; later many of them are killed
 //! together, and the relays may be among them.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -91,6 +93,8 @@
     me: Daemon,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// Daemons that stop, and when they said so: they still serve open connections.
+    leaving: BTreeMap<SocketAddr, Peer>,
     rng: Pcg32,
     next_hello: Mono,
     /// Largest recent number of daemons, without those that have left, and when it was reached.
@@ -111,6 +115,7 @@
             me,
             seeds: Vec::new(),
             peers: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             rng: Pcg32::new(seed, 7),
             next_hello: Mono::default(),
             largest_size: (1, Mono::default()),
@@ -187,10 +192,12 @@
 
     /// Records a message from a daemon; returns whether the daemon is new or has started again.
     pub fn record_heard(&mut self, now: Mono, daemon: &Daemon) -> bool {
-        let known = self.peers.get(&daemon.address);
-        if known.is_some_and(|p| p.daemon.started_ms != daemon.started_ms) {
-            // Whatever its time of day, the daemon itself tells of its last start.
-            self.peers.remove(&daemon.address);
+        // Whatever its time of day, the daemon itself tells of its last start.
+        for known in [&mut self.peers, &mut self.leaving] {
+            let start = known.get(&daemon.address).map(|p| p.daemon.started_ms);
+            if start.is_some_and(|s| s != daemon.started_ms) {
+                known.remove(&daemon.address);
+            }
         }
         self.record_named(daemon, now)
     }
@@ -224,14 +231,24 @@
         near.map(|d| d.address).collect()
     }
 
-    /// Removes a daemon that stops, unless it has started again since.
-    pub fn remove(&mut self, daemon: &Daemon) {
+    /// Records that a daemon stops, unless it has started again since.
+    ///
+    /// It is no peer any more, whatever it or others send later, but still gets updates. Returns whether
+    /// it was a peer.
+    pub fn record_leaving(&mut self, now: Mono, daemon: &Daemon) -> bool {
         let known = self.peers.get(&daemon.address);
-        if known.is_some_and(|p| p.daemon.started_ms <= daemon.started_ms) {
-            self.peers.remove(&daemon.address);
-            self.changed = true;
-            self.largest_size.0 = self.largest_size.0.saturating_sub(1).max(1);
+        if known.is_none_or(|p| p.daemon.started_ms > daemon.started_ms) {
+            return false;
         }
+        self.peers.remove(&daemon.address);
+        let peer = Peer {
+            daemon: daemon.clone(),
+            last_heard: now,
+        };
+        self.leaving.insert(daemon.address, peer);
+        self.changed = true;
+        self.largest_size.0 = self.largest_size.0.saturating_sub(1).max(1);
+        true
     }
 
     /// Time of the next hello.
@@ -249,6 +266,8 @@
         self.peers
             .retain(|_, p| now.since(p.last_heard) < expire_after);
         self.changed |= self.peers.len() != before;
+        self.leaving
+            .retain(|_, p| now.since(p.last_heard) < expire_after);
         if self.peers.is_empty() {
             self.next_hello = now + self.settings.search_interval;
             return self.seeds.clone();
@@ -295,10 +314,20 @@
 
     /// Addresses of all near peers, which are in this daemon's data centre.
     pub fn near_peers(&self) -> Vec<SocketAddr> {
-        let near = &self.me.data_centre;
-        let peers = self.peers.values();
-        let peers = peers.filter(|p| p.daemon.data_centre == *near);
-        peers.map(|p| p.daemon.address).collect()
+        self.near_of(self.peers.values())
+    }
+
+    /// Addresses of all near daemons that get updates: the near peers, and those that are leaving.
+    ///
+    /// Load pattern: the configuration changes during a rolling restart, while daemons that stop
+    /// still have callers.
+    pub fn near_receivers(&self) -> Vec<SocketAddr> {
+        self.near_of(self.peers.values().chain(self.leaving.values()))
+    }
+
+    fn near_of<'a>(&self, peers: impl Iterator<Item = &'a Peer>) -> Vec<SocketAddr> {
+        let near = peers.filter(|p| p.daemon.data_centre == self.me.data_centre);
+        near.map(|p| p.daemon.address).collect()
     }
 
     /// All known peers, each with the time since any daemon heard from it.
@@ -366,6 +395,10 @@
         if daemon.address == self.me.address {
             return false;
         }
+        let leaving = self.leaving.get(&daemon.address);
+        if leaving.is_some_and(|p| !replaces(p, daemon, at)) {
+            return false;
+        }
         if let Some(known) = self.peers.get_mut(&daemon.address) {
             if known.daemon.started_ms == daemon.started_ms {
                 known.last_heard = known.last_heard.max(at);
@@ -376,13 +409,7 @@
                 }
                 return false;
             }
-            // The time of day may have been set back between two starts.
-            let is_current = if daemon.started_ms > known.daemon.started_ms {
-                at + HEARD_ERROR >= known.last_heard
-            } else {
-                at > known.last_heard + HEARD_ERROR
-            };
-            if !is_current {
+            if !replaces(known, daemon, at) {
                 return false;
             }
         } else if self.peers.len() >= self.settings.capacity {
@@ -393,6 +420,7 @@
             last_heard: at,
         };
         self.peers.insert(daemon.address, peer);
+        self.leaving.remove(&daemon.address);
         self.changed = true;
         if self.size() >= self.largest_size.0 {
             self.largest_size = (self.size(), at);
@@ -400,3 +428,13 @@
         true
     }
 }
+
+/// Whether a daemon that was heard at a time is a later start of a known one.
+fn replaces(known: &Peer, daemon: &Daemon, at: Mono) -> bool {
+    // The time of day may have been set back between two starts.
+    match daemon.started_ms.cmp(&known.daemon.started_ms) {
+        Ordering::Equal => false,
+        Ordering::Greater => at + HEARD_ERROR >= known.last_heard,
+        Ordering::Less => at > known.last_heard + HEARD_ERROR,
+    }
+}
--- a/cuminspread/tests/mesh.rs
+++ b/cuminspread/tests/mesh.rs
@@ -198,7 +198,7 @@
         let new = mesh.merge_known(Mono(0), &[peer]);
         assert_eq!(!new.is_empty(), case.new, "{}", case.named);
         // The stop of an earlier start doesn't remove the peer.
-        mesh.remove(&daemon(1, 3, case.named.min(case.known) - 1));
+        mesh.record_leaving(Mono(0), &daemon(1, 3, case.named.min(case.known) - 1));
         assert_eq!(mesh.size(), 2);
     }
 }
@@ -293,7 +293,7 @@
             fleet.meshes[11 - i] = None;
             if i < case.stopped {
                 for mesh in fleet.meshes.iter_mut().flatten() {
-                    mesh.remove(&daemon(11 - i, 1, 1));
+                    mesh.record_leaving(fleet.now, &daemon(11 - i, 1, 1));
                 }
             }
         }
@@ -308,3 +308,100 @@
         );
     }
 }
+
+/// Guards against daemons that get no updates while they stop, and against ones that a late message makes
+/// a peer again (issue 49).
+#[test]
+fn a_daemon_that_is_stopping_gets_updates_and_is_no_peer() {
+    #[derive(Clone, Copy)]
+    enum Then {
+        Nothing,
+        /// A message of a start of the daemon arrives.
+        Heard(u64),
+        /// Another daemon names a start that it heard this long after the notice.
+        Named(u64, Duration),
+    }
+    struct Case {
+        then: Then,
+        after: Duration,
+        is_peer: bool,
+        gets_updates: bool,
+    }
+    const STARTED_MS: u64 = 60_000;
+    let soon = Duration::from_secs(2);
+    let cases = [
+        Case {
+            then: Then::Nothing,
+            after: soon,
+            is_peer: false,
+            gets_updates: true,
+        },
+        Case {
+            then: Then::Heard(STARTED_MS),
+            after: soon,
+            is_peer: false,
+            gets_updates: true,
+        },
+        Case {
+            then: Then::Named(STARTED_MS, soon),
+            after: soon,
+            is_peer: false,
+            gets_updates: true,
+        },
+        Case {
+            then: Then::Named(STARTED_MS - 1, Duration::ZERO),
+            after: soon,
+            is_peer: false,
+            gets_updates: true,
+        },
+        Case {
+            then: Then::Heard(STARTED_MS + 1),
+            after: soon,
+            is_peer: true,
+            gets_updates: true,
+        },
+        // The time of day was set back before the next start.
+        Case {
+            then: Then::Heard(STARTED_MS - 1),
+            after: soon,
+            is_peer: true,
+            gets_updates: true,
+        },
+        Case {
+            then: Then::Named(STARTED_MS + 1, soon),
+            after: soon,
+            is_peer: true,
+            gets_updates: true,
+        },
+        Case {
+            then: Then::Nothing,
+            after: MeshSettings::default().expire_after,
+            is_peer: false,
+            gets_updates: false,
+        },
+    ];
+    for (i, case) in cases.iter().enumerate() {
+        let mut mesh = Mesh::new(MeshSettings::default(), daemon(0, 1, 1), Vec::new(), 1);
+        let notice = Mono(0) + Duration::from_secs(5);
+        mesh.record_heard(notice, &daemon(1, 1, STARTED_MS));
+        mesh.record_heard(notice, &daemon(2, 1, 1));
+        assert!(mesh.record_leaving(notice, &daemon(1, 1, STARTED_MS)));
+        let now = notice + case.after;
+        mesh.record_heard(now, &daemon(2, 1, 1));
+        match case.then {
+            Then::Nothing => {}
+            Then::Heard(started_ms) => {
+                mesh.record_heard(now, &daemon(1, 1, started_ms));
+            }
+            Then::Named(started_ms, heard) => {
+                mesh.record_named(&daemon(1, 1, started_ms), notice + heard);
+            }
+        }
+        mesh.hello_targets(now);
+        let is_peer = mesh.near_peers().contains(&address(1));
+        assert_eq!(is_peer, case.is_peer, "case {i}");
+        let gets_updates = mesh.near_receivers().contains(&address(1));
+        assert_eq!(gets_updates, case.gets_updates, "case {i}");
+        assert!(mesh.near_receivers().contains(&address(2)), "case {i}");
+    }
+}
--- a/cuminspreadd/src/edge/control.rs
+++ b/cuminspreadd/src/edge/control.rs
@@ -272,19 +272,19 @@
         GossipMessage::ProbeRate(self.edge.servers().probe_rate(now).round() as u32)
     }
 
-    /// Sends a message to all near peers and to relays, which forward it in their data centres.
+    /// Sends a message to all near daemons and to relays, which forward it in their data centres.
     fn send_to_fleet(&self, state: &mut SyncState, message: impl Fn(bool) -> GossipMessage) {
         for (peers, relay) in [
-            (state.mesh.near_peers(), false),
+            (state.mesh.near_receivers(), false),
             (state.mesh.relays(), true),
         ] {
             self.send_all(&peers, &message(relay));
         }
     }
 
-    /// Sends a message that a relay gets to the peers of its data centre.
+    /// Sends a message that a relay gets to the daemons of its data centre.
     fn forward(&self, message: &GossipMessage) {
-        let near = self.lock().mesh.near_peers();
+        let near = self.lock().mesh.near_receivers();
         self.send_all(&near, message);
     }
 
@@ -316,6 +316,14 @@
         }
     }
 
+    fn handle_stopping_peer(&self, daemon: &Daemon) {
+        let now = self.edge.now();
+        if self.lock().mesh.record_leaving(now, daemon) {
+            let (address, data_centre) = (daemon.address, &daemon.data_centre);
+            log::info!("event=peer_leaving peer={address} data_centre={data_centre}");
+        }
+    }
+
     fn handle_crash_report(&self, report: CrashReport) {
         if !self.edge.crash_tracker().record(self.edge.now(), &report) || !report.relay {
             return;
--- a/cuminspreadd/src/edge/control/sync.rs
+++ b/cuminspreadd/src/edge/control/sync.rs
@@ -63,7 +63,7 @@
         if state.published_revisions.len() > CHANGE_REPEATS {
             state.published_revisions.remove(0);
         }
-        let near = state.mesh.near_peers();
+        let near = state.mesh.near_receivers();
         let relays = state.mesh.relays();
         let (base, changes) = match changes {
             Some(changes) => (base, changes),
@@ -119,7 +119,7 @@
     async fn repeat_versions(self: Arc<Self>, versions: Versions) {
         sleep(REPEAT_DELAY).await;
         let mut state = self.lock();
-        let (near, relays) = (state.mesh.near_peers(), state.mesh.relays());
+        let (near, relays) = (state.mesh.near_receivers(), state.mesh.relays());
         let me = state.mesh.me().clone();
         let mut update = versions_only(me, REPEAT_DELAY, versions, &state.evacuations);
         drop(state);
@@ -181,7 +181,7 @@
                 }
             }
             GossipMessage::StoreUpdate(update) => self.handle_update(from, &update),
-            GossipMessage::Leaving(daemon) => self.lock().mesh.remove(&daemon),
+            GossipMessage::Leaving(daemon) => self.handle_stopping_peer(&daemon),
             GossipMessage::Crash(report) => self.handle_crash_report(report),
             GossipMessage::Evacuations(report) => {
                 let mut state = self.lock();
@@ -267,7 +267,7 @@
             || lacks_routing
             || state.wants_terms;
         let near = if update.relay {
-            state.mesh.near_peers()
+            state.mesh.near_receivers()
         } else {
             Vec::new()
         };
--- a/cuminspreadd/tests/edge/stop.rs
+++ b/cuminspreadd/tests/edge/stop.rs
@@ -3,15 +3,16 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use cuminspread::coordination::mesh::MeshSettings;
 use cuminspread_platform::standin::client::ClientRequest;
 use cuminspread_platform::standin::server::{Behaviour, StandInServer};
-use cuminspread_platform::standin::store::RouteRow;
+use cuminspread_platform::standin::store::{Mode, RouteRow, StandInStore, config_text};
 use cuminspreadd::edge::run::EdgeDaemon;
 use cuminspreadd::edge::settings::EdgeSettings;
 use tokio::net::TcpStream;
 
-use crate::caller::Caller;
-use crate::fixture::{Fixture, is_ready, wait_for};
+use crate::caller::{self, Caller};
+use crate::fixture::{Fixture, UPDATE_BOUND, is_ready, start_fleet, wait_for};
 use crate::forwarding::start_cut_fleet;
 
 /// Default time between SIGTERM and SIGKILL.
@@ -340,3 +341,55 @@
     }
     (answered, cut)
 }
+
+/// Guards against daemons that their peers no longer send updates to since they are stopping, although
+/// they still serve callers (issue 49). The store refuses the daemon, and it sends no further hello, so
+/// that it depends on what its peers send of their own accord.
+#[tokio::test]
+async fn a_change_reaches_a_daemon_that_is_stopping() {
+    let fixture = Fixture::new(1, RouteRow::default()).await;
+    let fleet = start_fleet(&fixture, 3).await;
+    let refusing = StandInStore::start().await;
+    refusing.set_mode(Mode::Busy);
+    let (settings, edge_settings) = fixture.settings(&[fleet[0].peer()]);
+    let mesh = MeshSettings {
+        hello_interval: Duration::from_secs(60),
+        ..MeshSettings::default()
+    };
+    let edge_settings = EdgeSettings {
+        store: refusing.address(),
+        mesh,
+        ..edge_settings
+    };
+    let daemon = EdgeDaemon::start(settings, edge_settings).await.unwrap();
+    fixture.wait_ready(&daemon).await;
+    // Its last hello for now, after the one that found a peer.
+    tokio::time::sleep(2 * MeshSettings::default().search_interval).await;
+    let front = daemon.front();
+    let stop = tokio::spawn(daemon.stop());
+    // Its peers have heard of the stop by then.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let elsewhere = RouteRow {
+        prefix: "/elsewhere/",
+        ..RouteRow::default()
+    };
+    let config = config_text(10, &[elsewhere], 15.0);
+    fixture.store.put_config(config);
+    let changed_at = Instant::now();
+    let dropped_route = ClientRequest::default().text();
+    loop {
+        let res = caller::send(front, &dropped_route).await;
+        if res.status == 404 {
+            break;
+        }
+        assert_eq!(res.status, 200);
+        let elapsed = changed_at.elapsed();
+        assert!(
+            elapsed < UPDATE_BOUND,
+            "a dropped route is served after {elapsed:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(stop.await.unwrap(), "every request ended");
+    fleet.into_iter().for_each(EdgeDaemon::kill);
+}
