--- a/cuminspread/src/coordination/store_read.rs
+++ b/cuminspread/src/coordination/store_read.rs
@@ -19,6 +19,10 @@
     /// The store came back from a copy between two pages of a snapshot.
     #[error("the store came back from a copy during the read")]
     EraChanged,
+    /// The answer is larger than any that the store sends; if it had changes, a snapshot has fewer
+    /// bytes to an answer.
+    #[error("the answer is above the size limit")]
+    TooLarge,
     /// No response came in time.
     #[error("no response within the timeout")]
     Timeout,
--- a/cuminspread/src/transport/platform.rs
+++ b/cuminspread/src/transport/platform.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use reqwest::{Client, StatusCode};
+use reqwest::{Client, Response, StatusCode};
 use serde::de::DeserializeOwned;
 
 use crate::state::fleet::FleetList;
@@ -189,21 +189,37 @@
         let url = format!("{base}/{target}?after={after}&wait_ms={wait_ms}");
         let req = self.client.get(url).timeout(wait + self.settings.timeout);
         let sent = req.send().await;
-        let mut response = sent.map_err(ReadStep::Request)?;
+        let response = sent.map_err(ReadStep::Request)?;
         match response.status() {
             StatusCode::NO_CONTENT => return Ok(None),
             StatusCode::OK => {}
             status => return Err(ReadStep::Status(status)),
         }
-        let mut buf = Vec::new();
-        while let Some(chunk) = response.chunk().await.map_err(ReadStep::Request)? {
-            if buf.len() + chunk.len() > self.settings.max_response_bytes {
-                return Err(ReadStep::TooLarge);
-            }
-            buf.extend_from_slice(&chunk);
-        }
+        let max_bytes = self.settings.max_response_bytes;
+        let body = read_body(response, max_bytes).await;
+        let body = body.map_err(ReadStep::Request)?;
+        let buf = body.ok_or(ReadStep::TooLarge)?;
         serde_json::from_slice(&buf)
             .map(Some)
             .map_err(ReadStep::Parse)
     }
 }
+
+/// Reads a body; `None` if it is larger than `max_bytes`, of which no more are kept.
+///
+/// # Errors
+///
+/// Fails if the connection fails or the request's timeout passes.
+pub async fn read_body(
+    mut response: Response,
+    max_bytes: usize,
+) -> Result<Option<Vec<u8>>, reqwest::Error> {
+    let mut buf = Vec::new();
+    while let Some(chunk) = response.chunk().await? {
+        if buf.len() + chunk.len() > max_bytes {
+            return Ok(None);
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(Some(buf))
+}
--- a/cuminspreadd/src/edge/control/store.rs
+++ b/cuminspreadd/src/edge/control/store.rs
@@ -67,20 +67,22 @@
     }
 
     /// Reads the changes after a revision, or a snapshot if `after` is empty, its history is gone or
-    /// it is of an earlier era of the store.
+    /// too large for an answer, or it is of an earlier era of the store.
     pub(super) async fn read(self: Arc<Self>, after: Revision, limit: Duration) {
         let mut result = if after.is_empty() {
             self.store.read_snapshot(limit).await
         } else {
             self.store.read_changes(after.number, limit).await
         };
-        let history_is_gone = match &result {
+        let needs_snapshot = match &result {
             // In another era, the same number stands for another write.
-            Ok(result) => !after.is_empty() && result.revision.era > after.era,
-            Err(e) => matches!(e, ReadError::Compacted),
+            Ok(result) if !after.is_empty() && result.revision.era > after.era => Some("era"),
+            Err(ReadError::Compacted) => Some("compacted"),
+            Err(ReadError::TooLarge) if !after.is_empty() => Some("too_large"),
+            Ok(_) | Err(_) => None,
         };
-        if history_is_gone {
-            log::info!("event=store_history_gone after={after}");
+        if let Some(cause) = needs_snapshot {
+            log::info!("event=store_history_gone after={after} cause={cause}");
             self.edge.metrics.count_read("compacted");
             result = self.store.read_snapshot(limit).await;
         }
--- a/cuminspreadd/tests/edge/sync.rs
+++ b/cuminspreadd/tests/edge/sync.rs
@@ -6,12 +6,14 @@
 use cuminspread_platform::standin::client::ClientRequest;
 use cuminspread_platform::standin::server::StandInServer;
 use cuminspread_platform::standin::store::{Mode, RouteRow, config_text};
+use cuminspread_platform::store::MAX_ANSWER_BYTES;
 use cuminspreadd::edge::run::EdgeDaemon;
 use serde_json::json;
 
 use crate::fixture::{
     Fixture, STATUS_SERVICE, UPDATE_BOUND, is_ready, send, start_fleet, wait_for,
 };
+use crate::other_threads::OtherThreads;
 
 async fn status(daemon: &EdgeDaemon, target: &str) -> u16 {
     let req = ClientRequest {
@@ -289,6 +291,36 @@
     }
 }
 
+/// Guards against a size limit on the store's answers that keeps a daemon from large changes which are
+/// proper.
+#[tokio::test]
+async fn changes_that_are_too_large_for_one_answer_are_active_within_the_bound() {
+    /// Padding of a configuration; with it, each is close to the largest that the store takes.
+    const PADDING: usize = 900_000;
+    // The store writes these answers on threads of its own.
+    let others = OtherThreads::start();
+    let fixture = others.spawn(Fixture::new(1, prefixed("a", "/a/")));
+    let fixture = fixture.await.unwrap();
+    let daemons = start_fleet(&fixture, 2).await;
+    // An answer has their bytes as base64 text.
+    let changes = MAX_ANSWER_BYTES / PADDING;
+    for version in 0..changes {
+        let config = config_text(10 + version as u64, &[prefixed("b", "/b/")], 15.0);
+        let padding = " ".repeat(PADDING);
+        fixture.store.put_config(config + &padding);
+    }
+    let took = wait_for("the last version", async || {
+        let mut all_active = true;
+        for daemon in &daemons {
+            all_active &= status(daemon, "/b/1").await == 200;
+        }
+        all_active
+    })
+    .await;
+    assert!(took < UPDATE_BOUND, "{took:?}");
+    daemons.into_iter().for_each(EdgeDaemon::kill);
+}
+
 #[tokio::test]
 async fn invalid_registry_entries_are_ignored() {
     let fixture = Fixture::new(1, RouteRow::default()).await;
