Tests, fuzz: callers of the mesh that was changed

Their checks stay, and the fuzz target also asserts that a notice of an unknown daemon changes nothing.

--- a/cuminspread/tests/cold_server.rs
+++ b/cuminspread/tests/cold_server.rs
@@ -179,9 +179,9 @@
             }
             Trouble::RollingRestart if self.now > START && steps.is_multiple_of(100) => {
                 let i = (steps / 100) % count;
-                let me = self.members[i].mesh.me().clone();
+                let (now, me) = (self.now, self.members[i].mesh.me().clone());
                 for member in &mut self.members {
-                    member.mesh.remove(&me);
+                    member.mesh.record_leaving(now, &me);
                 }
                 self.members[i] = self.started(i);
             }
@@ -195,7 +195,7 @@
     fn say_hello(&mut self, i: usize) {
         let now = self.now;
         let targets = self.members[i].mesh.hello_targets(now);
-        let me = self.members[i].mesh.me().clone();
+        let (now, me) = (self.now, self.members[i].mesh.me().clone());
         for target in targets {
             let to = self
                 .members
--- a/fuzz/src/target.rs
+++ b/fuzz/src/target.rs
@@ -222,7 +222,9 @@
                 apply_delta(delta);
             }
         }
-        GossipMessage::Leaving(daemon) => mesh.remove(&daemon),
+        GossipMessage::Leaving(daemon) => {
+            assert!(!mesh.record_leaving(NOW, &daemon), "it is no peer");
+        }
         GossipMessage::ProbeRate(rate) => {
             let mut limiter = ProbeLimiter::new(ProbeLimiterSettings::default());
             limiter.record_peer_rate(rate as f32, 10.0);
