placement: how a passed-on response ends counts for its server

A server that broke its large responses off, or fell silent in them, kept its share of the requests and more: it looks sound and fast at each head.

Cause: an attempt counted as answered once the head and the first bytes had come, which also ended the avoidance of the server; nothing was recorded at the end of the body.

Change: such an attempt has begun, and its end is recorded with the body: complete as an answer, broken off or cut at the route's timeout as a failure, like one without a response. Nothing is recorded if the caller leaves or doesn't read. A peer that forwards records nothing; the daemon that reaches the server does.

--- a/cuminspread/src/coordination/placement/server_state.rs
+++ b/cuminspread/src/coordination/placement/server_state.rs
@@ -128,6 +128,9 @@
         /// The status means that the server failed.
         failed: bool,
     },
+    /// The head of a response that is passed on while it arrives; [`ServerState::record_body`] tells how
+    /// it ended.
+    Begun,
     /// The server answered that it did not run the request.
     Refused,
     /// No response came: the connection failed or the time ran out.
@@ -246,6 +249,25 @@
         self.load = None;
     }
 
+    /// Records how a response ended after [`AttemptEnd::Begun`], unless its caller has left.
+    ///
+    /// Load pattern: servers whose health checks and heads are sound break large responses off, fall silent
+    /// in them, or never end them.
+    pub fn record_body(&mut self, now: Mono, complete: bool, settings: &PlacementSettings) {
+        if complete {
+            self.record_answer(now, false, settings);
+        } else {
+            self.record_failure(now, settings);
+        }
+    }
+
+    fn record_answer(&mut self, now: Mono, failed: bool, settings: &PlacementSettings) {
+        self.consecutive_failures = 0;
+        self.avoid_until = Mono::default();
+        let error = if failed { 1.0 } else { 0.0 };
+        self.error_rate.record(now, settings.half_life, error, 0.2);
+    }
+
     /// Stops avoiding the server for failures that were not its own.
     pub fn forgive_failures(&mut self) {
         self.consecutive_failures = 0;
@@ -286,11 +308,11 @@
         let took = now.since(request.sent);
         let half_life = settings.half_life;
         match end {
-            AttemptEnd::Answered { failed } => {
-                self.consecutive_failures = 0;
-                self.avoid_until = Mono::default();
-                let error = if failed { 1.0 } else { 0.0 };
-                self.error_rate.record(now, half_life, error, 0.2);
+            AttemptEnd::Answered { .. } | AttemptEnd::Begun => {
+                let failed = end == AttemptEnd::Answered { failed: true };
+                if end != AttemptEnd::Begun {
+                    self.record_answer(now, failed, settings);
+                }
                 if !request.had_free_slot || failed {
                     return None;
                 }
--- a/cuminspread/tests/placement.rs
+++ b/cuminspread/tests/placement.rs
@@ -409,6 +409,42 @@
     }
 }
 
+/// Guards against servers that look sound at each head, and so draw requests, while their bodies fail.
+#[test]
+fn only_a_complete_body_ends_the_avoidance_of_a_server() {
+    struct Case {
+        complete: bool,
+        avoided: bool,
+        failures: u32,
+    }
+    let cases = [
+        Case {
+            complete: false,
+            avoided: true,
+            failures: 3,
+        },
+        Case {
+            complete: true,
+            avoided: false,
+            failures: 0,
+        },
+    ];
+    let settings = PlacementSettings::default();
+    for case in cases {
+        let mut slowdown = LoadSlowdown::default();
+        let mut server = ServerState::new(true, 4, Mono::default());
+        let now = at(1000);
+        server.record_failure(now, &settings);
+        server.record_failure(now, &settings);
+        server.record_sent(1, &context(now), &settings);
+        server.record_end(now, 1, AttemptEnd::Begun, &mut slowdown, &settings);
+        assert!(server.is_avoided(now), "the head says nothing of the body");
+        server.record_body(now, case.complete, &settings);
+        assert_eq!(server.is_avoided(now), case.avoided);
+        assert_eq!(server.consecutive_failures(), case.failures);
+    }
+}
+
 #[test]
 fn an_overdue_request_raises_the_latency_ratio_before_it_ends() {
     let settings = PlacementSettings::default();
--- a/cuminspreadd/src/edge/call.rs
+++ b/cuminspreadd/src/edge/call.rs
@@ -28,7 +28,7 @@
 use super::hedge::{self, Withdrawn};
 use super::outcome_log::{History, log_outcome};
 use super::placement::{Purpose, Target, place};
-use super::request::{InboundRequest, Origin, Reply};
+use super::request::{InboundRequest, Origin, Reply, StreamedBody};
 use super::state::{Edge, LimitSource, MOVED_SERVER_PAUSE};
 
 /// Attempts of one request, including those that are proven not to have run, which the route's
@@ -384,12 +384,19 @@
             }
             NextStep::Reply(reply)
         }
-        AttemptResult::Streaming(head, body, exchange, fields) => {
+        AttemptResult::Streaming(head, prefix, rest, fields) => {
             record_state(attempt, &fields);
-            attempt.record_end(AttemptEnd::Answered {
-                failed: head.status.is_server_error(),
+            attempt.record_end(if head.status.is_server_error() {
+                AttemptEnd::Answered { failed: true }
+            } else {
+                AttemptEnd::Begun
             });
-            NextStep::Reply(Reply::Streaming(head, body, exchange))
+            let body = StreamedBody {
+                prefix,
+                rest,
+                server: Some(attempt.target.key),
+            };
+            NextStep::Reply(Reply::Streaming(head, body))
         }
         AttemptResult::NotRun(detail, fields) => {
             history.possible_runs -= 1;
--- a/cuminspreadd/src/edge/forward.rs
+++ b/cuminspreadd/src/edge/forward.rs
@@ -22,7 +22,7 @@
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 
-use super::request::{InboundRequest, Reply};
+use super::request::{InboundRequest, Reply, StreamedBody};
 use super::state::Edge;
 use crate::settings::Settings;
 
@@ -242,7 +242,14 @@
             exchange.finish();
             PeerReply::Ran(Box::new(Reply::Buffered(head, body.freeze())))
         }
-        Ok(false) => PeerReply::Ran(Box::new(Reply::Streaming(head, body.freeze(), exchange))),
+        Ok(false) => {
+            let body = StreamedBody {
+                prefix: body.freeze(),
+                rest: exchange,
+                server: None,
+            };
+            PeerReply::Ran(Box::new(Reply::Streaming(head, body)))
+        }
         Err(e) => {
             log::debug!("event=forward_failed id={} {e}", req.outbound.id);
             PeerReply::Unknown("cut_short")
--- a/cuminspreadd/src/edge/hedge.rs
+++ b/cuminspreadd/src/edge/hedge.rs
@@ -228,7 +228,7 @@
         && !is_hedge
         && end != AttemptEnd::Refused
     {
-        let answered = matches!(end, AttemptEnd::Answered { .. });
+        let answered = matches!(end, AttemptEnd::Answered { .. } | AttemptEnd::Begun);
         hedging.record_time(took, cx.processing_time, answered);
     }
 }
--- a/cuminspreadd/src/edge/ingress.rs
+++ b/cuminspreadd/src/edge/ingress.rs
@@ -8,8 +8,8 @@
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -38,7 +38,7 @@
 use super::forward::{ADDED_FIELDS, ADDED_HEAD_BYTES, mark_response, take_fields};
 use super::request::{Origin, Reply};
 use super::response::{GuardedBody, HttpResponse, has_length, rejection_response, reply_response};
-use super::state::Edge;
+use super::state::{Edge, ServerKey};
 use crate::body_buffer::BodyBuffer;
 
 /// Pause after a failed accept; the usual cause is a lack of file descriptors.
@@ -57,6 +57,16 @@
     in_flight: AtomicUsize,
     /// Time of the last response, or of the accept, in microseconds of [`Mono`].
     last: AtomicU64,
+    /// Server whose response is passed on as it arrives, unless it comes through a peer.
+    streamed_from: Mutex<Option<ServerKey>>,
+}
+
+impl Activity {
+    fn streamed_from(&self) -> MutexGuard<'_, Option<ServerKey>> {
+        self.streamed_from
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Phase of a graceful stop, for the callers' connections.
@@ -145,7 +155,7 @@
             let (edge, phase) = (Arc::clone(&edge), phase.clone());
             let guard = ActivityGuard::new(&edge, &activity, &connection);
             async move {
-                let res = respond(&edge, req, &guard.connection, &phase, sender).await;
+                let res = respond(&edge, req, &guard, &phase, sender).await;
                 Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, guard)))
             }
         })
@@ -160,6 +170,10 @@
             ended = conn.as_mut() => break ended,
             (response, awaited) = &mut overdue => {
                 cut_response(&edge, &response, awaited, sender.origin);
+                if awaited == Awaited::Server {
+                    let server = *activity.streamed_from();
+                    edge.record_body(server, false);
+                }
                 return;
             }
             () = sleep(check_in), if !closing => {
@@ -248,10 +262,11 @@
 async fn respond(
     edge: &Arc<Edge>,
     req: Request<Incoming>,
-    connection: &CallerConnection,
+    guard: &ActivityGuard,
     phase: &watch::Receiver<StopPhase>,
     sender: Sender,
 ) -> HttpResponse {
+    let connection = &guard.connection;
     let at_arrival = *phase.borrow();
     let front = connection.take_front();
     let reads_chunks = req.version() != Version::HTTP_10;
@@ -260,6 +275,10 @@
         Ok(replied) => (replied.reply.outcome(), replied.reply.reason()),
         Err(rejection) => (Outcome::NotRun, rejection.reason()),
     };
+    *guard.activity.streamed_from() = match &handled {
+        Ok(replied) => replied.reply.streamed_from(),
+        Err(_) => None,
+    };
     let open = open_response(edge, &handled);
     let mut res = match handled {
         Ok(replied) => reply_response(edge, &replied.id, replied.reply),
--- a/cuminspreadd/src/edge/request.rs
+++ b/cuminspreadd/src/edge/request.rs
@@ -14,7 +14,7 @@
 use http::response::Parts;
 
 use super::attempt::OutboundRequest;
-use super::state::InFlightGuard;
+use super::state::{InFlightGuard, ServerKey};
 
 /// Who sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,13 +58,24 @@
     pub in_flight: InFlightGuard,
 }
 
+/// A body that is still arriving.
+#[derive(Debug)]
+pub struct StreamedBody {
+    /// Bytes read so far.
+    pub prefix: Bytes,
+    /// Exchange that reads the others.
+    pub rest: Exchange,
+    /// Server that sends it; `None` if it comes through a peer, which records how it ends.
+    pub server: Option<ServerKey>,
+}
+
 /// What the caller gets.
 #[derive(Debug)]
 pub enum Reply {
     /// A server's complete response.
     Buffered(Parts, Bytes),
-    /// A server's response whose body is still arriving, with the bytes read so far.
-    Streaming(Parts, Bytes, Exchange),
+    /// A server's response whose body is still arriving.
+    Streaming(Parts, StreamedBody),
     /// The request has not run, and won't.
     Refused {
         /// Reason in the response.
@@ -93,6 +104,14 @@
         }
     }
 
+    /// Server whose response is passed on as it arrives, unless it comes through a peer.
+    pub fn streamed_from(&self) -> Option<ServerKey> {
+        match self {
+            Self::Streaming(_, body) => body.server,
+            Self::Buffered(..) | Self::Refused { .. } | Self::Failed { .. } => None,
+        }
+    }
+
     /// Label of the outcome's reason.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/cuminspreadd/src/edge/response.rs
+++ b/cuminspreadd/src/edge/response.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use cuminspread::coordination::refusal::{self, RefusalReason, ServiceState};
 use cuminspread::state::Name;
-use cuminspread::transport::upstream::exchange::{Chunk, Exchange};
-use futures_util::{StreamExt as _, TryStreamExt as _, stream};
+use cuminspread::transport::upstream::exchange::Chunk;
+use futures_util::{StreamExt as _, stream};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use http::response::Parts;
 use http::{HeaderValue, Response, StatusCode};
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt as _, Full, StreamBody};
 
 use super::admission::Rejection;
-use super::request::Reply;
+use super::request::{Reply, StreamedBody};
 use super::state::Edge;
 use crate::headers;
 
@@ -73,8 +73,8 @@
             res.headers_mut().remove(CONTENT_LENGTH);
             res
         }
-        Reply::Streaming(head, prefix, rest) => {
-            let body = streaming_body(Arc::clone(edge), id.clone(), prefix, rest);
+        Reply::Streaming(head, body) => {
+            let body = streaming_body(Arc::clone(edge), id.clone(), body);
             with_head(head, body)
         }
         Reply::Refused {
@@ -96,29 +96,30 @@
 
 /// Body that starts with the bytes read so far; an error while it streams closes the caller's
 /// connection, so that the caller doesn't take a truncated body for a complete one.
-fn streaming_body(
-    edge: Arc<Edge>,
-    id: Name,
-    prefix: Bytes,
-    rest: Exchange,
-) -> UnsyncBoxBody<Bytes, BoxError> {
-    let first = stream::iter([Ok(Frame::data(prefix))]);
-    let others = stream::unfold(Some(rest), |rest| async move {
-        let mut rest = rest?;
-        match std::future::poll_fn(|cx| rest.poll_chunk(cx)).await {
-            Ok(Chunk::Data(data)) => Some((Ok(Frame::data(data)), Some(rest))),
-            Ok(Chunk::End) => {
-                rest.finish();
-                None
+fn streaming_body(edge: Arc<Edge>, id: Name, body: StreamedBody) -> UnsyncBoxBody<Bytes, BoxError> {
+    let first = stream::iter([Ok(Frame::data(body.prefix))]);
+    let source = Some((edge, body.rest));
+    let server = body.server;
+    let others = stream::unfold(source, move |source| {
+        let id = id.clone();
+        async move {
+            let (edge, mut rest) = source?;
+            match std::future::poll_fn(|cx| rest.poll_chunk(cx)).await {
+                Ok(Chunk::Data(data)) => Some((Ok(Frame::data(data)), Some((edge, rest)))),
+                Ok(Chunk::End) => {
+                    rest.finish();
+                    edge.record_body(server, true);
+                    None
+                }
+                Err(e) => {
+                    edge.metrics.count_cut_response("broken");
+                    log::warn!("event=response_cut id={id} cause=broken {e}");
+                    edge.record_body(server, false);
+                    Some((Err(BoxError::from(e)), None))
+                }
             }
-            Err(e) => Some((Err(e), None)),
         }
     });
-    let others = others.map_err(move |e| {
-        edge.metrics.count_cut_response("broken");
-        log::warn!("event=response_cut id={id} cause=broken {e}");
-        BoxError::from(e)
-    });
     StreamBody::new(first.chain(others)).boxed_unsync()
 }
 
--- a/cuminspreadd/src/edge/state.rs
+++ b/cuminspreadd/src/edge/state.rs
@@ -341,6 +341,15 @@
         }
     }
 
+    /// Records how a response that was passed on as it arrived has ended.
+    pub fn record_body(&self, server: Option<ServerKey>, complete: bool) {
+        let (now, settings) = (self.now(), self.placement());
+        let mut servers = self.servers();
+        if let Some(server) = server.and_then(|key| servers.get_mut(key)) {
+            server.state.record_body(now, complete, settings);
+        }
+    }
+
     /// Whether routes and servers are known and the daemon isn't stopping.
     pub fn is_ready(&self) -> bool {
         self.knows_all() && !self.is_stopping()
--- a/cuminspreadd/tests/edge/delivery.rs
+++ b/cuminspreadd/tests/edge/delivery.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cuminspread_platform::standin::client::ClientRequest;
+use cuminspread_platform::standin::endless::Endless;
 use cuminspread_platform::standin::server::{Behaviour, PacedBody};
 use cuminspread_platform::standin::store::RouteRow;
 use cuminspreadd::edge::run::EdgeDaemon;
@@ -181,6 +182,77 @@
     }
 }
 
+/// Guards against servers that keep their share of the requests although they never end their responses
+/// (issue 50).
+#[tokio::test]
+async fn a_server_that_does_not_end_its_responses_gets_few_requests() {
+    const REQUESTS: usize = 24;
+    #[derive(Debug)]
+    struct Case {
+        behaviour: Behaviour,
+        forwarded: bool,
+        /// Most requests that the first of two servers gets.
+        most: usize,
+    }
+    let stalls = Behaviour::Paced(PacedBody {
+        stalls: true,
+        ..PacedBody::default()
+    });
+    let slow = Behaviour::Paced(PacedBody {
+        ms: 100,
+        ..PacedBody::default()
+    });
+    let few = |behaviour| Case {
+        behaviour,
+        forwarded: false,
+        most: REQUESTS / 4,
+    };
+    let cases = [
+        few(stalls),
+        few(Behaviour::LargeCutShort(200)),
+        few(Behaviour::Endless(Endless::TinyChunks)),
+        few(Behaviour::Endless(Endless::Body)),
+        few(Behaviour::Endless(Endless::Extensions)),
+        Case {
+            forwarded: true,
+            ..few(stalls)
+        },
+        // What is slow but complete is no failure.
+        Case {
+            most: REQUESTS,
+            ..few(slow)
+        },
+    ];
+    for case in cases {
+        let fixture = Fixture::new(2, route(false, Duration::from_millis(300))).await;
+        let daemons = start(&fixture, case.forwarded).await;
+        let large = Behaviour::Paced(PacedBody::default());
+        fixture.servers[0].set_behaviour(case.behaviour);
+        fixture.servers[1].set_behaviour(large);
+        let mut complete = 0;
+        for i in 0..REQUESTS {
+            let req = ClientRequest {
+                id: &format!("attempt-{i}"),
+                fields: "connection: close\r\n",
+                ..download()
+            };
+            let stream = TcpStream::connect(daemons[0].front()).await.unwrap();
+            let ended = read_to_end(stream, &req.text()).await;
+            let served = ended.bytes.starts_with(b"HTTP/1.1 200") && ended.looks_complete();
+            complete += usize::from(served);
+        }
+        let faulty = fixture.servers[0].executed().len();
+        assert!(faulty <= case.most, "{case:?}: {faulty} of {REQUESTS}");
+        let expected = if case.most == REQUESTS {
+            REQUESTS
+        } else {
+            REQUESTS - faulty
+        };
+        assert_eq!(complete, expected, "{case:?}");
+        daemons.into_iter().for_each(EdgeDaemon::kill);
+    }
+}
+
 /// Guards against small responses, which are read before they are passed on, that leave their caller without
 /// an answer.
 #[tokio::test]
