transport: heads of responses use up the turn of their task by their number

endless::a_response_without_end_... failed beside other work: 20 responses of informational heads without end were open 1.56 to 1.84 s, 1.5 s allowed.

Cause: a read of a connection counted by its bytes only, and hyper parses all heads that one read holds at once, thousands in a turn. Twenty such connections kept the timers of each other waiting.

Change: while a head is awaited, a read takes 4 KiB at most, and 128 bytes of it count as one operation, so a turn ends after 16 KiB. Bodies are read as before.

--- a/cuminspread/src/transport/turn.rs
+++ b/cuminspread/src/transport/turn.rs
@@ -18,6 +18,8 @@
 
 /// Bytes of a read that count as one operation.
 const BYTES_PER_STEP: usize = 1024;
+/// Bytes of heads that count as one operation; the smallest informational response has 25.
+const HEAD_BYTES_PER_STEP: usize = 128;
 /// Operations that a frame counts as; a turn has 128.
 const STEPS_PER_FRAME: usize = 8;
 
@@ -33,6 +35,11 @@
     take_steps(cx, count / BYTES_PER_STEP);
 }
 
+/// Takes a read of `count` bytes of heads out of the turn.
+pub fn record_head_read(cx: &mut Context<'_>, count: usize) {
+    take_steps(cx, count / HEAD_BYTES_PER_STEP);
+}
+
 fn take_steps(cx: &mut Context<'_>, steps: usize) {
     for _ in 0..steps {
         if poll_step(cx).is_pending() {
--- a/cuminspread/src/transport/upstream/exchange.rs
+++ b/cuminspread/src/transport/upstream/exchange.rs
@@ -74,8 +74,10 @@
         req: Request<Full<Bytes>>,
     ) -> Result<(Parts, Self), Failure> {
         let base = conn.meter.written();
+        conn.meter.set_awaits_head(true);
         let response = conn.sender.send_request(req);
         let response = drive_until(&mut conn, response).await;
+        conn.meter.set_awaits_head(false);
         match response {
             Some(Ok(res)) => Ok(Self::split(res, conn, base)),
             Some(Err(e)) => Err(failure(&conn, base, Step::Head, &e.to_string())),
--- a/cuminspread/src/transport/upstream/meter.rs
+++ b/cuminspread/src/transport/upstream/meter.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,9 @@
 
 use crate::transport::turn;
 
+/// Bytes of one read while a head is awaited: all heads in it are parsed at once.
+const HEAD_READ_BYTES: usize = 4 << 10;
+
 /// Byte counts of one connection, which can be read while the stream is in use.
 #[derive(Debug)]
 pub struct Meter {
@@ -19,6 +22,8 @@
     written: AtomicU64,
     read: AtomicU64,
     last_read_us: AtomicU64,
+    /// A request was sent, and the head of its final response hasn't arrived.
+    awaits_head: AtomicBool,
 }
 
 impl Meter {
@@ -28,6 +33,7 @@
             written: AtomicU64::new(0),
             read: AtomicU64::new(0),
             last_read_us: AtomicU64::new(0),
+            awaits_head: AtomicBool::new(false),
         }
     }
 
@@ -47,6 +53,11 @@
         self.start.elapsed().saturating_sub(last)
     }
 
+    /// Records that the head of a final response is awaited from now on, or no longer.
+    pub fn set_awaits_head(&self, awaits_head: bool) {
+        self.awaits_head.store(awaits_head, Ordering::Relaxed);
+    }
+
     fn record_read(&self, count: usize) {
         self.read.fetch_add(count as u64, Ordering::Release);
         let us = self.start.elapsed().as_micros() as u64;
@@ -82,12 +93,26 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
-        let count = buf.filled().len() - before;
+        let awaits_head = self.meter.awaits_head.load(Ordering::Relaxed);
+        let (polled, count) = if awaits_head {
+            let len = buf.remaining().min(HEAD_READ_BYTES);
+            let mut part = ReadBuf::new(buf.initialize_unfilled_to(len));
+            let polled = Pin::new(&mut self.inner).poll_read(cx, &mut part);
+            let count = part.filled().len();
+            buf.advance(count);
+            (polled, count)
+        } else {
+            let before = buf.filled().len();
+            let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+            (polled, buf.filled().len() - before)
+        };
         if count > 0 {
             self.meter.record_read(count);
-            turn::record_read(cx, count);
+            if awaits_head {
+                turn::record_head_read(cx, count);
+            } else {
+                turn::record_read(cx, count);
+            }
         }
         polled
     }
