--- a/cuminspread/src/coordination/store_read.rs
+++ b/cuminspread/src/coordination/store_read.rs
@@ -19,8 +19,7 @@
     /// The store came back from a copy between two pages of a snapshot.
     #[error("the store came back from a copy during the read")]
     EraChanged,
-    /// The answer is larger than any that the store sends; if it had changes, a snapshot has fewer
-    /// bytes to an answer.
+    /// The answer is larger than a page of the store, or the pages of a snapshot are too many.
     #[error("the answer is above the size limit")]
     TooLarge,
     /// No response came in time.
--- a/cuminspread/src/transport/platform.rs
+++ b/cuminspread/src/transport/platform.rs
@@ -198,8 +198,8 @@
         let max_bytes = self.settings.max_response_bytes;
         let body = read_body(response, max_bytes).await;
         let body = body.map_err(ReadStep::Request)?;
-        let buf = body.ok_or(ReadStep::TooLarge)?;
-        serde_json::from_slice(&buf)
+        let body = body.ok_or(ReadStep::TooLarge)?;
+        serde_json::from_slice(&body)
             .map(Some)
             .map_err(ReadStep::Parse)
     }
--- a/cuminspreadd/tests/edge/sync.rs
+++ b/cuminspreadd/tests/edge/sync.rs
@@ -23,6 +23,18 @@
     send(daemon, &req).await.status
 }
 
+/// Waits until all daemons answer a request with 200; returns the time that took.
+async fn wait_all_serve(daemons: &[EdgeDaemon], target: &str) -> Duration {
+    wait_for("the route", async || {
+        let mut all_serve = true;
+        for daemon in daemons {
+            all_serve &= status(daemon, target).await == 200;
+        }
+        all_serve
+    })
+    .await
+}
+
 fn prefixed(name: &'static str, prefix: &'static str) -> RouteRow {
     RouteRow {
         name,
@@ -277,14 +289,7 @@
     fixture
         .store
         .put_config(config_text(9, &[prefixed("b", "/b/")], 15.0));
-    let took = wait_for("version 9", async || {
-        let mut all_active = true;
-        for daemon in &daemons {
-            all_active &= status(daemon, "/b/1").await == 200;
-        }
-        all_active
-    })
-    .await;
+    let took = wait_all_serve(&daemons, "/b/1").await;
     assert!(took < UPDATE_BOUND, "{took:?}");
     for daemon in daemons {
         daemon.kill();
@@ -309,14 +314,7 @@
         let padding = " ".repeat(PADDING);
         fixture.store.put_config(config + &padding);
     }
-    let took = wait_for("the last version", async || {
-        let mut all_active = true;
-        for daemon in &daemons {
-            all_active &= status(daemon, "/b/1").await == 200;
-        }
-        all_active
-    })
-    .await;
+    let took = wait_all_serve(&daemons, "/b/1").await;
     assert!(took < UPDATE_BOUND, "{took:?}");
     daemons.into_iter().for_each(EdgeDaemon::kill);
 }
