Review case 7: answers lost behind a download that breaks off

Cause: look-ups behind a download are passed on before its answer has come. If its target crashes in the middle of it, the connection ends and the look-ups that sound targets have run and answered get no answer. The guard against this only knows routes that streamed in the last 10 s.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 //! broken, 0 if it held and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out. Settings
 //! and logs of the daemons and the ids of their processes are kept in the scratch folder.
 
+mod ahead;
 mod client;
 mod crashing;
 mod daemon;
@@ -35,6 +36,7 @@
     let scratch = PathBuf::from(scratch);
     let record = record::Record::create(&PathBuf::from(folder).join("record.txt"));
     let verdict = match case.as_str() {
+        "ahead" => ahead::run(&record, &scratch, trouble),
         "crashing" => crashing::run(&record, &scratch, trouble),
         "gone" => gone::run(&record, &scratch, trouble),
         "leaving" => leaving::run(&record, &scratch, trouble),
