Review case 9: restarted daemons send on what crashes targets

Cause: which requests crash targets is known to the daemons that ran when the crashes happened. A daemon that starts learns nothing of it from its peers, and lets three more targets crash.

--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -9,6 +9,12 @@
 
 use crate::http;
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+const SIGTERM: i32 = 15;
+
 /// One daemon.
 pub struct Daemon {
     pub front: SocketAddr,
@@ -54,6 +60,7 @@
         count: usize,
         ports: Ports,
         store: SocketAddr,
+        first_start: bool,
     ) -> Self {
         let [front, admin, readiness, peer, forward] = ports.0;
         let ip = ip(index);
@@ -69,11 +76,16 @@
              [listen]\nfront = {ip}:{front}\nadmin = {ip}:{admin}\nreadiness = {ip}:{readiness}\n\
              peer = {ip}:{peer}\nforward = {ip}:{forward}\n\n\
              [store]\naddress = {store}\n\n\
-             [peers]\nseeds = {}\nfirst_start = true\ncore_share = 0.2\n\n\
+             [peers]\nseeds = {}\n{}core_share = 0.2\n\n\
              [bounds]\ngrace_s = 6\nretry_ratio = 0.2\nretry_slack = 64\nlooks_per_s = 60\n\n\
              [regions]\n{}\n\n[callers]\nmax_buffered = 33554432\n\n\
              [servers]\nidle_timeout_ms = 8000\nconnect_timeout_ms = 400\n",
             seeds.join(","),
+            if first_start {
+                "first_start = true\n"
+            } else {
+                ""
+            },
             regions.join("\n"),
         );
         let path: PathBuf = folder.join(format!("{name}.ini"));
@@ -127,6 +139,21 @@
         }
         http::read_request(&mut stream, &mut Vec::new()).is_some_and(|r| r.status() == 200)
     }
+
+    /// Stops the daemon as the platform does: SIGTERM, and SIGKILL after 6 s.
+    pub fn stop(mut self) {
+        // SAFETY: the process was started here and has not been waited for.
+        unsafe {
+            kill(self.child.id() as i32, SIGTERM);
+        }
+        let begin = Instant::now();
+        while begin.elapsed() < Duration::from_secs(6) {
+            if !matches!(self.child.try_wait(), Ok(None)) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
 }
 
 impl Drop for Daemon {
--- a/review/standin-2/gone.rs
+++ b/review/standin-2/gone.rs
@@ -51,7 +51,8 @@
         target.report(&store, "ready", 1);
     }
     let ports = Ports::find(DAEMONS);
-    let daemons = (0..DAEMONS).map(|i| Daemon::start(scratch, i, DAEMONS, ports, store.address));
+    let daemons =
+        (0..DAEMONS).map(|i| Daemon::start(scratch, i, DAEMONS, ports, store.address, true));
     let daemons: Vec<Daemon> = daemons.collect();
     if !daemons.iter().all(Daemon::wait_ready) {
         return Verdict::NotRun;
