--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -9,12 +9,6 @@
 
 use crate::http;
 
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-const SIGTERM: i32 = 15;
-
 /// One daemon.
 pub struct Daemon {
     pub front: SocketAddr,
@@ -139,21 +133,6 @@
         }
         http::read_request(&mut stream, &mut Vec::new()).is_some_and(|r| r.status() == 200)
     }
-
-    /// Stops the daemon as the platform does: SIGTERM, and SIGKILL after 6 s.
-    pub fn stop(mut self) {
-        // SAFETY: the process was started here and has not been waited for.
-        unsafe {
-            kill(self.child.id() as i32, SIGTERM);
-        }
-        let begin = Instant::now();
-        while begin.elapsed() < Duration::from_secs(6) {
-            if !matches!(self.child.try_wait(), Ok(None)) {
-                return;
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    }
 }
 
 impl Drop for Daemon {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -13,7 +13,6 @@
 mod http;
 mod leaving;
 mod record;
-mod restarts;
 mod store;
 mod target;
 
@@ -40,7 +39,6 @@
         "ahead" => ahead::run(&record, &scratch, trouble),
         "crashing" => crashing::run(&record, &scratch, trouble),
         "gone" => gone::run(&record, &scratch, trouble),
-        "restarts" => restarts::run(&record, &scratch, trouble),
         "leaving" => leaving::run(&record, &scratch, trouble),
         _ => Verdict::NotRun,
     };
