--- a/review/standin-2/gone.rs
+++ b/review/standin-2/gone.rs
@@ -19,9 +19,9 @@
 const CONFIG: &str = r#"{"version":"r1","routes":{"columns":["name","host","prefix","kind","timeout_s","aim_s","priority","weighted_services","max_attempts","service"],"rows":[["r-order","orders.example","/batch/","non_idempotent",10,2.5,1,null,2,"bulk"]]},"services":{"columns":["name","health_check_path","max_connections","protocol","tls"],"rows":[["bulk","/healthz",260,"h1",false]]},"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}"#;
 
 const DAEMONS: usize = 12;
-const BURSTS: usize = 22;
+const BURSTS: usize = 18;
 /// Time between two bursts.
-const PERIOD: Duration = Duration::from_millis(4500);
+const PERIOD: Duration = Duration::from_millis(5000);
 /// Orders of one burst, the same number at each daemon.
 const BURST: usize = 24;
 /// The share of clients that leave, in tenths, and after which time.
@@ -36,7 +36,7 @@
     let store = Store::start();
     store.write("op/config", Some(CONFIG.to_owned()));
     let zones = ["radhus", "skolesenter", "havnekontor"];
-    let targets: Vec<Target> = (0..4)
+    let targets: Vec<Target> = (0..3)
         .map(|i| {
             let plan = Plan {
                 work: Duration::from_secs(1),
